--- /dev/null
+++ b/vanillatrestle-bench/src/main/java/org/vanillatrestle/bench/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * The bench module of vanillatrestle.
+ */
+package org.vanillatrestle.bench;
--- /dev/null
+++ b/vanillatrestle-core/src/main/java/org/vanillatrestle/CallerName.java
@@ -0,0 +1,26 @@
+package org.vanillatrestle;
+
+/**
+ * Names a caller within a customer's contract.
+ * <p>
+ * Immutable and thread safe. The value is never blank and matches {@link Names#PATTERN}.
+ *
+ * @param value the name as written in settings and contracts
+ */
+public record CallerName(String value) implements Comparable<CallerName> {
+
+	public CallerName {
+		Names.check("caller", value);
+	}
+
+	@Override
+	public int compareTo(CallerName other) {
+		return this.value.compareTo(other.value);
+	}
+
+	@Override
+	public String toString() {
+		return this.value;
+	}
+
+}
--- /dev/null
+++ b/vanillatrestle-core/src/main/java/org/vanillatrestle/CustomerId.java
@@ -0,0 +1,26 @@
+package org.vanillatrestle;
+
+/**
+ * Identifies a customer, the owner of one contract.
+ * <p>
+ * Immutable and thread safe. The value is never blank and matches {@link Names#PATTERN}.
+ *
+ * @param value the name as written in settings and contracts
+ */
+public record CustomerId(String value) implements Comparable<CustomerId> {
+
+	public CustomerId {
+		Names.check("customer", value);
+	}
+
+	@Override
+	public int compareTo(CustomerId other) {
+		return this.value.compareTo(other.value);
+	}
+
+	@Override
+	public String toString() {
+		return this.value;
+	}
+
+}
--- /dev/null
+++ b/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/contract/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Reading, checking and writing of contracts.
+ */
+package org.vanillatrestle.internal.contract;
--- /dev/null
+++ b/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/json/JsonObject.java
@@ -0,0 +1,349 @@
+package org.vanillatrestle.internal.json;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Locale;
+import java.util.Set;
+
+import com.fasterxml.jackson.core.JsonFactoryBuilder;
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.core.StreamReadConstraints;
+import com.fasterxml.jackson.core.StreamReadFeature;
+import com.fasterxml.jackson.core.json.JsonReadFeature;
+import com.fasterxml.jackson.databind.DeserializationFeature;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.json.JsonMapper;
+import org.vanillatrestle.InvalidDocumentException;
+import org.vanillatrestle.Names;
+
+/**
+ * Reads the fields of one JSON object strictly: a missing, unknown or ill-typed field is
+ * an error with its path.
+ * <p>
+ * Call {@link #end()} after the last field. Not thread safe.
+ */
+public final class JsonObject {
+
+	private static final JsonMapper MAPPER = JsonMapper
+		.builder(new JsonFactoryBuilder()
+			.streamReadConstraints(StreamReadConstraints.builder().maxNestingDepth(32).build())
+			.build())
+		.enable(StreamReadFeature.STRICT_DUPLICATE_DETECTION)
+		.enable(DeserializationFeature.FAIL_ON_TRAILING_TOKENS)
+		.disable(JsonReadFeature.ALLOW_JAVA_COMMENTS)
+		.build();
+
+	private final JsonNode node;
+
+	private final String path;
+
+	private final Set<String> seen = new HashSet<>();
+
+	private JsonObject(JsonNode node, String path) {
+		this.node = node;
+		this.path = path;
+	}
+
+	/**
+	 * Parses a document whose top is an object.
+	 * @param text the document
+	 * @return the reader of its top object
+	 * @throws InvalidDocumentException if the text is not JSON or its top is no object
+	 */
+	public static JsonObject parse(String text) throws InvalidDocumentException {
+		try {
+			return of(MAPPER.readTree(text), "$");
+		}
+		catch (JsonProcessingException ex) {
+			String where = (ex.getLocation() != null)
+					? " at line " + ex.getLocation().getLineNr() + ", column " + ex.getLocation().getColumnNr() : "";
+			throw new InvalidDocumentException("$", "not valid JSON" + where + ": " + ex.getOriginalMessage());
+		}
+	}
+
+	private static JsonObject of(JsonNode node, String path) throws InvalidDocumentException {
+		if (node == null || !node.isObject()) {
+			throw new InvalidDocumentException(path, "an object is expected, for example {\"name\": …}");
+		}
+		return new JsonObject(node, path);
+	}
+
+	/**
+	 * Returns the path of this object within its document.
+	 * @return the path, {@code $} for the top
+	 */
+	public String path() {
+		return this.path;
+	}
+
+	/**
+	 * Returns the path of one of this object's fields.
+	 * @param field the field's name
+	 * @return the path
+	 */
+	public String path(String field) {
+		return this.path + "." + field;
+	}
+
+	/**
+	 * Tells whether a field is present and not {@code null}.
+	 * @param field the field's name
+	 * @return whether the field has a value
+	 */
+	public boolean has(String field) {
+		this.seen.add(field);
+		return this.node.hasNonNull(field);
+	}
+
+	/**
+	 * Reads a text.
+	 * @param field the field's name
+	 * @return the text
+	 * @throws InvalidDocumentException if the field is missing or not a text
+	 */
+	public String string(String field) throws InvalidDocumentException {
+		JsonNode value = required(field);
+		if (!value.isTextual()) {
+			throw new InvalidDocumentException(path(field), "a text in quotes is expected");
+		}
+		return value.textValue();
+	}
+
+	/**
+	 * Reads a text or a default.
+	 * @param field the field's name
+	 * @param defaultValue what to return if the field is absent
+	 * @return the text
+	 * @throws InvalidDocumentException if the field is not a text
+	 */
+	public String string(String field, String defaultValue) throws InvalidDocumentException {
+		return has(field) ? string(field) : defaultValue;
+	}
+
+	/**
+	 * Reads a name that follows {@link Names#PATTERN}.
+	 * @param field the field's name
+	 * @return the name
+	 * @throws InvalidDocumentException if the field is missing or no valid name
+	 */
+	public String name(String field) throws InvalidDocumentException {
+		return checkName(string(field), path(field));
+	}
+
+	/**
+	 * Reads a whole number within bounds.
+	 * @param field the field's name
+	 * @param min the least accepted value
+	 * @param max the greatest accepted value
+	 * @return the number
+	 * @throws InvalidDocumentException if the field is missing, no whole number or out of
+	 * bounds
+	 */
+	public long integer(String field, long min, long max) throws InvalidDocumentException {
+		JsonNode value = required(field);
+		if (!value.isIntegralNumber() || !value.canConvertToLong()) {
+			throw new InvalidDocumentException(path(field), "a whole number without quotes or unit is expected");
+		}
+		long number = value.longValue();
+		if (number < min || number > max) {
+			throw new InvalidDocumentException(path(field),
+					"must lie between " + min + " and " + max + ", but is " + number);
+		}
+		return number;
+	}
+
+	/**
+	 * Reads a whole number within bounds or a default.
+	 * @param field the field's name
+	 * @param min the least accepted value
+	 * @param max the greatest accepted value
+	 * @param defaultValue what to return if the field is absent
+	 * @return the number
+	 * @throws InvalidDocumentException if the field is no whole number or out of bounds
+	 */
+	public long integer(String field, long min, long max, long defaultValue) throws InvalidDocumentException {
+		return has(field) ? integer(field, min, max) : defaultValue;
+	}
+
+	/**
+	 * Reads a number that is not negative.
+	 * @param field the field's name
+	 * @param defaultValue what to return if the field is absent
+	 * @return the number
+	 * @throws InvalidDocumentException if the field is no number or negative
+	 */
+	public double nonNegative(String field, double defaultValue) throws InvalidDocumentException {
+		if (!has(field)) {
+			return defaultValue;
+		}
+		JsonNode value = this.node.get(field);
+		if (!value.isNumber() || !(value.doubleValue() >= 0) || Double.isInfinite(value.doubleValue())) {
+			throw new InvalidDocumentException(path(field), "a number of at least 0 is expected");
+		}
+		return value.doubleValue();
+	}
+
+	/**
+	 * Reads a truth value or a default.
+	 * @param field the field's name
+	 * @param defaultValue what to return if the field is absent
+	 * @return the value
+	 * @throws InvalidDocumentException if the field is neither {@code true} nor
+	 * {@code false}
+	 */
+	public boolean bool(String field, boolean defaultValue) throws InvalidDocumentException {
+		if (!has(field)) {
+			return defaultValue;
+		}
+		JsonNode value = this.node.get(field);
+		if (!value.isBoolean()) {
+			throw new InvalidDocumentException(path(field), "true or false is expected");
+		}
+		return value.booleanValue();
+	}
+
+	/**
+	 * Reads one of an enum's constants.
+	 * @param <E> the enum
+	 * @param field the field's name
+	 * @param type the enum's class
+	 * @return the constant
+	 * @throws InvalidDocumentException if the field is missing or names no constant
+	 */
+	public <E extends Enum<E>> E constant(String field, Class<E> type) throws InvalidDocumentException {
+		return toConstant(string(field), path(field), type);
+	}
+
+	/**
+	 * Reads one of an enum's constants or a default.
+	 * @param <E> the enum
+	 * @param field the field's name
+	 * @param defaultValue what to return if the field is absent
+	 * @return the constant
+	 * @throws InvalidDocumentException if the field names no constant
+	 */
+	public <E extends Enum<E>> E constant(String field, E defaultValue) throws InvalidDocumentException {
+		return has(field) ? constant(field, defaultValue.getDeclaringClass()) : defaultValue;
+	}
+
+	/**
+	 * Reads a nested object.
+	 * @param field the field's name
+	 * @return the reader of the object
+	 * @throws InvalidDocumentException if the field is missing or no object
+	 */
+	public JsonObject object(String field) throws InvalidDocumentException {
+		return of(required(field), path(field));
+	}
+
+	/**
+	 * Reads a list of objects; an absent field is an empty list.
+	 * @param field the field's name
+	 * @return the readers of the objects
+	 * @throws InvalidDocumentException if the field is no list of objects
+	 */
+	public List<JsonObject> objects(String field) throws InvalidDocumentException {
+		List<JsonObject> result = new ArrayList<>();
+		List<JsonNode> items = items(field);
+		for (int i = 0; i < items.size(); i++) {
+			result.add(of(items.get(i), path(field) + "[" + i + "]"));
+		}
+		return result;
+	}
+
+	/**
+	 * Reads a list of texts; an absent field is an empty list.
+	 * @param field the field's name
+	 * @return the texts
+	 * @throws InvalidDocumentException if the field is no list of texts
+	 */
+	public List<String> strings(String field) throws InvalidDocumentException {
+		List<String> result = new ArrayList<>();
+		List<JsonNode> items = items(field);
+		for (int i = 0; i < items.size(); i++) {
+			if (!items.get(i).isTextual()) {
+				throw new InvalidDocumentException(path(field) + "[" + i + "]", "a text in quotes is expected");
+			}
+			result.add(items.get(i).textValue());
+		}
+		return result;
+	}
+
+	/**
+	 * Reads a list of names that follow {@link Names#PATTERN}, each given once.
+	 * @param field the field's name
+	 * @return the names
+	 * @throws InvalidDocumentException if the field is no list of distinct names
+	 */
+	public List<String> names(String field) throws InvalidDocumentException {
+		List<String> result = strings(field);
+		Set<String> distinct = new HashSet<>();
+		for (int i = 0; i < result.size(); i++) {
+			String itemPath = path(field) + "[" + i + "]";
+			checkName(result.get(i), itemPath);
+			if (!distinct.add(result.get(i))) {
+				throw new InvalidDocumentException(itemPath, "'" + result.get(i) + "' is listed twice");
+			}
+		}
+		return result;
+	}
+
+	/**
+	 * Ends the reading of this object.
+	 * @throws InvalidDocumentException if the object has a field that was never asked for
+	 */
+	public void end() throws InvalidDocumentException {
+		for (String field : (Iterable<String>) this.node::fieldNames) {
+			if (!this.seen.contains(field)) {
+				throw new InvalidDocumentException(path(field),
+						"unknown field; known here: " + String.join(", ", this.seen.stream().sorted().toList()));
+			}
+		}
+	}
+
+	private JsonNode required(String field) throws InvalidDocumentException {
+		if (!has(field)) {
+			throw new InvalidDocumentException(path(field), "this field is missing");
+		}
+		return this.node.get(field);
+	}
+
+	private List<JsonNode> items(String field) throws InvalidDocumentException {
+		if (!has(field)) {
+			return List.of();
+		}
+		JsonNode value = this.node.get(field);
+		if (!value.isArray()) {
+			throw new InvalidDocumentException(path(field), "a list is expected, for example [\"a\", \"b\"]");
+		}
+		List<JsonNode> result = new ArrayList<>();
+		value.forEach(result::add);
+		return result;
+	}
+
+	private static String checkName(String value, String path) throws InvalidDocumentException {
+		if (!Names.isValid(value)) {
+			throw new InvalidDocumentException(path,
+					"'" + value + "' is not a valid name; a name has 1 to 63 letters, digits, dots, underscores"
+							+ " or hyphens and begins with a letter or digit");
+		}
+		return value;
+	}
+
+	private static <E extends Enum<E>> E toConstant(String value, String path, Class<E> type)
+			throws InvalidDocumentException {
+		for (E constant : type.getEnumConstants()) {
+			if (constant.name().equals(value)) {
+				return constant;
+			}
+		}
+		List<String> known = new ArrayList<>();
+		for (E constant : type.getEnumConstants()) {
+			known.add(constant.name());
+		}
+		throw new InvalidDocumentException(path,
+				String.format(Locale.ROOT, "'%s' is not one of %s", value, String.join(", ", known)));
+	}
+
+}
--- /dev/null
+++ b/vanillatrestle-core/src/main/java/org/vanillatrestle/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * The public types of vanillatrestle: ids, contracts, verdicts and errors.
+ */
+package org.vanillatrestle;
--- /dev/null
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * The daemon module of vanillatrestle.
+ */
+package org.vanillatrestle.daemon;
--- /dev/null
+++ b/vanillatrestle-wire/src/main/java/org/vanillatrestle/wire/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * The wire module of vanillatrestle.
+ */
+package org.vanillatrestle.wire;
