--- /dev/null
+++ b/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/target/TargetAddress.java
@@ -0,0 +1,18 @@
+package org.vanillatrestle.internal.target;
+
+/**
+ * Where a target accepts HTTP requests.
+ * <p>
+ * Immutable and thread safe.
+ *
+ * @param host the IP number
+ * @param port the TCP port
+ */
+public record TargetAddress(String host, int port) {
+
+	@Override
+	public String toString() {
+		return this.host + ":" + this.port;
+	}
+
+}
--- /dev/null
+++ b/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/target/TargetRegistry.java
@@ -0,0 +1,112 @@
+package org.vanillatrestle.internal.target;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+import org.vanillatrestle.CustomerId;
+import org.vanillatrestle.DataCentreId;
+import org.vanillatrestle.ModelName;
+import org.vanillatrestle.ServiceName;
+import org.vanillatrestle.TargetId;
+
+/**
+ * The targets of one data centre that have announced themselves within the TTL.
+ * <p>
+ * An announcement never replaces a newer one. {@code leaving} takes effect at once and
+ * holds for the rest of the incarnation. Not thread safe: owned by the VM's event loop.
+ */
+public final class TargetRegistry {
+
+	private final DataCentreId dataCentre;
+
+	private final long ttlNanos;
+
+	private final Map<TargetId, Entry> entries = new HashMap<>();
+
+	/**
+	 * Creates an empty registry.
+	 * @param dataCentre the data centre whose targets are accepted
+	 * @param ttlNanos how long an announcement holds, in nanoseconds
+	 */
+	public TargetRegistry(DataCentreId dataCentre, long ttlNanos) {
+		this.dataCentre = dataCentre;
+		this.ttlNanos = ttlNanos;
+	}
+
+	/**
+	 * Takes an announcement, from the target itself or passed on by another VM.
+	 * @param announcement the announcement
+	 * @param nowNanos the monotonic time in nanoseconds
+	 * @return what became of it
+	 */
+	public AnnouncementOutcome announce(Announcement announcement, long nowNanos) {
+		if (!announcement.dataCentre().equals(this.dataCentre)) {
+			return AnnouncementOutcome.WRONG_DATA_CENTRE;
+		}
+		Entry known = this.entries.get(announcement.target());
+		if (known != null && announcement.incarnation() < known.announcement.incarnation()) {
+			return AnnouncementOutcome.OLDER_INCARNATION;
+		}
+		if (known != null && !announcement.supersedes(known.announcement)) {
+			return AnnouncementOutcome.STALE;
+		}
+		boolean sameIncarnation = known != null && known.announcement.incarnation() == announcement.incarnation();
+		boolean leaving = announcement.leaving() || (sameIncarnation && known.leaving);
+		this.entries.put(announcement.target(), new Entry(announcement, leaving, nowNanos));
+		return AnnouncementOutcome.ACCEPTED;
+	}
+
+	/**
+	 * Lists the targets that may get a new request.
+	 * @param customer the request's customer
+	 * @param service the request's service
+	 * @param model the model asked for, empty for a plain service
+	 * @param nowNanos the monotonic time in nanoseconds
+	 * @return the announcements of live targets that serve it and are not leaving
+	 */
+	public List<Announcement> candidates(CustomerId customer, ServiceName service, Optional<ModelName> model,
+			long nowNanos) {
+		List<Announcement> result = new ArrayList<>();
+		for (Entry entry : this.entries.values()) {
+			if (isLive(entry, nowNanos) && !entry.leaving && entry.announcement.serves(customer, service, model)) {
+				result.add(entry.announcement);
+			}
+		}
+		return result;
+	}
+
+	/**
+	 * Lists the live targets, leaving ones included.
+	 * @param nowNanos the monotonic time in nanoseconds
+	 * @return their last announcements
+	 */
+	public Collection<Announcement> live(long nowNanos) {
+		return this.entries.values()
+			.stream()
+			.filter((entry) -> isLive(entry, nowNanos))
+			.map((entry) -> entry.announcement)
+			.toList();
+	}
+
+	/**
+	 * Forgets targets whose incarnation number need no longer be remembered.
+	 * @param nowNanos the monotonic time in nanoseconds
+	 * @param retentionNanos how long an expired target is remembered, in nanoseconds
+	 */
+	public void forgetExpired(long nowNanos, long retentionNanos) {
+		this.entries.values().removeIf((entry) -> nowNanos - entry.heardNanos > this.ttlNanos + retentionNanos);
+	}
+
+	private boolean isLive(Entry entry, long nowNanos) {
+		return nowNanos - entry.heardNanos <= this.ttlNanos;
+	}
+
+	private record Entry(Announcement announcement, boolean leaving, long heardNanos) {
+
+	}
+
+}
