--- /dev/null
+++ b/vanillatrestle-bench/src/main/java/org/vanillatrestle/bench/internal/command/TargetArguments.java
@@ -0,0 +1,39 @@
+package org.vanillatrestle.bench.internal.command;
+
+import java.util.List;
+
+import org.apache.commons.cli.ParseException;
+import org.vanillatrestle.bench.internal.standin.TargetPrice;
+import org.vanillatrestle.bench.internal.standin.TargetProfile;
+
+/**
+ * The options that both kinds of stand-in targets share.
+ * <p>
+ * Stateless and thread safe.
+ */
+final class TargetArguments {
+
+	static final String DEFAULT_HOST = "127.0.0.1";
+
+	private TargetArguments() {
+	}
+
+	static Arguments addTo(Arguments arguments) {
+		return arguments.option("id", "ID", "the target's id")
+			.option("host", "ADDRESS", "address to listen on, default " + DEFAULT_HOST)
+			.option("port", "PORT", "port to listen on, default a free one")
+			.option("data-centre", "NAME", "the target's data centre")
+			.option("service", "NAME", "the service it belongs to")
+			.option("customer", "NAME", "the customer it serves alone, default all")
+			.option("entries", "HOST:PORT,...", "entry VMs to announce to, default none")
+			.option("secret", "TEXT", "shared secret sent with announcements");
+	}
+
+	static TargetProfile profile(Arguments arguments, String kind, List<String> models, TargetPrice capacity)
+			throws ParseException {
+		return new TargetProfile(arguments.required("id"), kind, arguments.required("data-centre"),
+				arguments.required("service"), arguments.text("customer", ""), models, capacity,
+				arguments.list("entries"), arguments.text("secret", ""));
+	}
+
+}
--- /dev/null
+++ b/vanillatrestle-bench/src/main/java/org/vanillatrestle/bench/internal/command/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * The subcommands of the bench.
+ */
+package org.vanillatrestle.bench.internal.command;
--- /dev/null
+++ b/vanillatrestle-bench/src/main/java/org/vanillatrestle/bench/internal/standin/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * What all stand-in targets share: faults on command, the run log and announcements.
+ */
+package org.vanillatrestle.bench.internal.standin;
