Add the stand-in plain service

Payouts and submissions need a target that logs each run by its key, so that a second run shows. Both stand-ins now share their server, their announcements and their load reports.

--- a/vanillatrestle-bench/src/main/java/org/vanillatrestle/bench/Bench.java
+++ b/vanillatrestle-bench/src/main/java/org/vanillatrestle/bench/Bench.java
@@ -6,6 +6,7 @@
 
 import org.apache.commons.cli.ParseException;
 import org.vanillatrestle.bench.internal.command.EngineCommand;
+import org.vanillatrestle.bench.internal.command.ServiceCommand;
 
 /**
  * The bench's main class, which hands over to a subcommand.
@@ -14,7 +15,7 @@
  */
 public final class Bench {
 
-	private static final List<BenchCommand> COMMANDS = List.of(new EngineCommand());
+	private static final List<BenchCommand> COMMANDS = List.of(new EngineCommand(), new ServiceCommand());
 
 	private Bench() {
 	}
--- a/vanillatrestle-bench/src/main/java/org/vanillatrestle/bench/internal/command/EngineCommand.java
+++ b/vanillatrestle-bench/src/main/java/org/vanillatrestle/bench/internal/command/EngineCommand.java
@@ -1,7 +1,6 @@
 package org.vanillatrestle.bench.internal.command;
 
 import java.io.PrintStream;
-import java.util.concurrent.CountDownLatch;
 
 import org.apache.commons.cli.ParseException;
 import org.vanillatrestle.bench.BenchCommand;
@@ -18,8 +17,6 @@
  */
 public final class EngineCommand implements BenchCommand {
 
-	private static final long LEAVE_MILLIS = 20_000;
-
 	private static final long PRICE_MICROS = 1000;
 
 	@Override
@@ -50,11 +47,7 @@
 		if (!arguments.parse(this, args, out)) {
 			return OK;
 		}
-		StandInEngine engine = StandInEngine.start(settings(arguments));
-		out.println("Engine: listens on " + arguments.text("host", TargetArguments.DEFAULT_HOST) + ":" + engine.port());
-		Runtime.getRuntime().addShutdownHook(new Thread(() -> leave(engine)));
-		new CountDownLatch(1).await();
-		return OK;
+		return TargetArguments.serve(StandInEngine.start(settings(arguments)), arguments, out);
 	}
 
 	private static EngineSettings settings(Arguments arguments) throws ParseException {
@@ -62,8 +55,7 @@
 		TargetPrice capacity = new TargetPrice(timing.maxRunning(), timing.tokensPerSecond(),
 				arguments.number("price-micros", PRICE_MICROS), 0);
 		TargetProfile profile = TargetArguments.profile(arguments, "MODEL", arguments.list("models"), capacity);
-		return new EngineSettings(arguments.text("host", TargetArguments.DEFAULT_HOST),
-				(int) arguments.number("port", 0), timing, profile);
+		return new EngineSettings(TargetArguments.place(arguments, profile), timing);
 	}
 
 	private static EngineTiming timing(Arguments arguments) throws ParseException {
@@ -77,13 +69,4 @@
 				arguments.number("load-lag-millis", defaults.loadLagMillis()));
 	}
 
-	private static void leave(StandInEngine engine) {
-		try {
-			engine.leave(LEAVE_MILLIS);
-		}
-		catch (InterruptedException ex) {
-			Thread.currentThread().interrupt();
-		}
-	}
-
 }
--- a/vanillatrestle-bench/src/main/java/org/vanillatrestle/bench/internal/engine/EngineSettings.java
+++ b/vanillatrestle-bench/src/main/java/org/vanillatrestle/bench/internal/engine/EngineSettings.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 
+import org.vanillatrestle.bench.internal.standin.StandInPlace;
 import org.vanillatrestle.bench.internal.standin.TargetPrice;
 import org.vanillatrestle.bench.internal.standin.TargetProfile;
 
@@ -10,12 +11,10 @@
  * <p>
  * Immutable and thread safe.
  *
- * @param host the address to listen on
- * @param port the port, 0 for a free one
+ * @param place where it listens and what it announces
  * @param timing how long it takes
- * @param profile what it announces
  */
-public record EngineSettings(String host, int port, EngineTiming timing, TargetProfile profile) {
+public record EngineSettings(StandInPlace place, EngineTiming timing) {
 
 	private static final long PRICE_MICROS = 1000;
 
@@ -34,7 +33,7 @@
 		TargetPrice capacity = new TargetPrice(timing.maxRunning(), timing.tokensPerSecond(), PRICE_MICROS, 0);
 		TargetProfile profile = new TargetProfile(id, "MODEL", dataCentre, service, "", List.of(model), capacity,
 				entries, "");
-		return new EngineSettings("127.0.0.1", 0, timing, profile);
+		return new EngineSettings(new StandInPlace("127.0.0.1", 0, profile), timing);
 	}
 
 	/**
@@ -43,7 +42,7 @@
 	 * @return the settings
 	 */
 	public EngineSettings withTiming(EngineTiming other) {
-		return new EngineSettings(this.host, this.port, other, this.profile);
+		return new EngineSettings(this.place, other);
 	}
 
 }
--- a/vanillatrestle-bench/src/test/java/org/vanillatrestle/bench/internal/engine/StandInEngineTests.java
+++ b/vanillatrestle-bench/src/test/java/org/vanillatrestle/bench/internal/engine/StandInEngineTests.java
@@ -18,6 +18,7 @@
 import org.vanillatrestle.bench.internal.standin.Fault;
 import org.vanillatrestle.bench.internal.standin.FaultMode;
 import org.vanillatrestle.bench.internal.standin.Run;
+import org.vanillatrestle.bench.internal.standin.StandInTarget;
 
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.assertj.core.api.Assertions.assertThatExceptionOfType;
@@ -35,7 +36,7 @@
 
 	private final HttpClient client = HttpClient.newHttpClient();
 
-	private StandInEngine engine;
+	private StandInTarget engine;
 
 	@BeforeEach
 	void startEngine() throws IOException {
