--- /dev/null
+++ b/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/book/RevisionRecord.java
@@ -0,0 +1,18 @@
+package org.vanillatrestle.internal.book;
+
+/**
+ * An accepted revision in a customer's history.
+ * <p>
+ * Immutable and thread safe.
+ *
+ * @param revision the revision
+ * @param index its index in the replicated log
+ * @param operator the operator's name
+ * @param atMillis when it was proposed, in milliseconds since 1970
+ * @param removal whether it removed the contract
+ * @param sha256 the SHA-256 of the canonical document in hexadecimal, empty for a removal
+ */
+public record RevisionRecord(long revision, long index, String operator, long atMillis, boolean removal,
+		String sha256) {
+
+}
