--- /dev/null
+++ b/vanillatrestle-core/src/test/java/org/vanillatrestle/internal/book/ContractBookTests.java
@@ -0,0 +1,137 @@
+package org.vanillatrestle.internal.book;
+
+import java.util.List;
+import java.util.Optional;
+
+import org.junit.jupiter.api.Test;
+import org.vanillatrestle.CustomerId;
+import org.vanillatrestle.RegionId;
+import org.vanillatrestle.VmId;
+import org.vanillatrestle.internal.book.BookOutcome.Accepted;
+import org.vanillatrestle.internal.book.BookOutcome.Conflict;
+import org.vanillatrestle.internal.book.BookOutcome.Invalid;
+import org.vanillatrestle.internal.book.BookOutcome.Repeated;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatIllegalArgumentException;
+
+/**
+ * Tests for {@link ContractBook}.
+ */
+class ContractBookTests {
+
+	private static final CustomerId CUSTOMER = new CustomerId("himdugdha");
+
+	private final ContractBook book = new ContractBook(BookLimits.DEFAULT);
+
+	private long index;
+
+	@Test
+	void shouldAcceptTheNextRevisionOnly() {
+		assertThat(apply(ContractDocuments.apply("asha", "himdugdha", 7, 1))).isEqualTo(new Accepted(1, 7));
+		assertThat(apply(ContractDocuments.apply("asha", "himdugdha", 8, 2))).isEqualTo(new Accepted(2, 8));
+		assertThat(apply(ContractDocuments.apply("asha", "himdugdha", 10, 3))).isInstanceOf(Conflict.class);
+		assertThat(this.book.entry(CUSTOMER).orElseThrow().revision()).isEqualTo(8);
+	}
+
+	@Test
+	void shouldGiveTheSameAnswerToAResendAlsoAfterALaterChange() {
+		apply(ContractDocuments.apply("asha", "himdugdha", 1, 1));
+		apply(ContractDocuments.apply("bina", "himdugdha", 2, 2));
+		assertThat(apply(ContractDocuments.apply("asha", "himdugdha", 1, 1))).isEqualTo(new Repeated(1, 1));
+		assertThat(this.book.entry(CUSTOMER).orElseThrow().revision()).isEqualTo(2);
+	}
+
+	@Test
+	void shouldTellTheLoserOfARaceWhatIsInForce() {
+		apply(ContractDocuments.apply("asha", "himdugdha", 1, 1));
+		BookOutcome outcome = apply(ContractDocuments.apply("bina", "himdugdha", 1, 2));
+		assertThat(outcome).isInstanceOfSatisfying(Conflict.class, (conflict) -> {
+			assertThat(conflict.revision()).isEqualTo(1);
+			assertThat(conflict.inForce()).contains(ContractDocuments.contract("himdugdha", 1, 1));
+		});
+	}
+
+	@Test
+	void shouldContinueTheNumbersAfterARemoval() {
+		apply(ContractDocuments.apply("asha", "himdugdha", 1, 1));
+		assertThat(apply(ContractDocuments.remove("asha", "himdugdha", 2))).isEqualTo(new Accepted(2, 2));
+		assertThat(apply(ContractDocuments.remove("asha", "himdugdha", 2))).isEqualTo(new Repeated(2, 2));
+		assertThat(apply(ContractDocuments.remove("asha", "himdugdha", 3))).isInstanceOf(Conflict.class);
+		assertThat(apply(ContractDocuments.apply("asha", "himdugdha", 1, 2))).isInstanceOf(Conflict.class);
+		assertThat(apply(ContractDocuments.apply("asha", "himdugdha", 3, 2))).isEqualTo(new Accepted(6, 3));
+	}
+
+	@Test
+	void shouldKeepACallersHomeAlsoAfterARemoval() {
+		apply(ContractDocuments.apply("asha", "himdugdha", 1, 1));
+		apply(ContractDocuments.remove("asha", "himdugdha", 2));
+		String moved = ContractDocuments.document("himdugdha", 3, 1, "koshi", ContractDocuments.key("himdugdha"));
+		assertThat(apply(new BookCommand.Apply("asha", CUSTOMER, moved, 1000))).isInstanceOfSatisfying(Invalid.class,
+				(fault) -> assertThat(fault.path()).isEqualTo("$.callers[0].home"));
+	}
+
+	@Test
+	void shouldNotPassAKeyToAnotherCustomer() {
+		apply(ContractDocuments.apply("asha", "himdugdha", 1, 1));
+		String stolen = ContractDocuments.document("other", 1, 1, "bagmati", ContractDocuments.key("himdugdha"));
+		assertThat(apply(new BookCommand.Apply("asha", new CustomerId("other"), stolen, 1000))).isInstanceOfSatisfying(
+				Invalid.class, (fault) -> assertThat(fault.path()).isEqualTo("$.callers[0].keySha256"));
+	}
+
+	@Test
+	void shouldRefuseADocumentOfAnotherCustomer() {
+		String document = ContractDocuments.document("other", 1, 1);
+		assertThat(apply(new BookCommand.Apply("asha", CUSTOMER, document, 1000))).isInstanceOfSatisfying(Invalid.class,
+				(fault) -> assertThat(fault.path()).isEqualTo("$.customer"));
+	}
+
+	@Test
+	void shouldAuditEveryChangeWithItsDifference() {
+		apply(ContractDocuments.apply("asha", "himdugdha", 1, 1));
+		apply(ContractDocuments.apply("bina", "himdugdha", 2, 2));
+		apply(ContractDocuments.apply("bina", "himdugdha", 2, 2));
+		apply(ContractDocuments.apply("chandra", "himdugdha", 2, 3));
+		apply(new BookCommand.Apply("chandra", CUSTOMER, "{", 1000));
+		List<AuditRecord> records = this.book.audit(0, Optional.of(CUSTOMER));
+		assertThat(records).extracting(AuditRecord::event)
+			.containsExactly(AuditEvent.ACCEPTED, AuditEvent.ACCEPTED, AuditEvent.REPEATED, AuditEvent.CONFLICT,
+					AuditEvent.INVALID);
+		assertThat(records.get(1).diff().changes())
+			.containsExactly(new DocumentChange("$.services[sheets].priority", "1", "2"));
+		assertThat(records.get(3).actor()).isEqualTo("chandra");
+	}
+
+	@Test
+	void shouldKeepVmEventsApartFromContractChanges() {
+		ContractBook small = new ContractBook(new BookLimits(10, 4, 10, 5, 2, 1_000_000));
+		small.apply(1, ContractDocuments.apply("asha", "himdugdha", 1, 1));
+		for (int i = 2; i < 20; i++) {
+			small.apply(i, new BookCommand.NoteVm(new VmId("entry-1"), new VmId("entry-2"), new RegionId("koshi"),
+					AuditEvent.VM_SUSPECTED, 1000));
+		}
+		assertThat(small.audit(0, Optional.empty())).extracting(AuditRecord::index).containsExactly(1L, 18L, 19L);
+	}
+
+	@Test
+	void shouldKeepMostOfTheTrailWhenTheWallClockJumps() {
+		for (int i = 1; i <= 10; i++) {
+			apply(ContractDocuments.apply("asha", "himdugdha", i, i % 5));
+		}
+		String document = ContractDocuments.document("himdugdha", 11, 4);
+		apply(new BookCommand.Apply("asha", CUSTOMER, document, Long.MAX_VALUE / 2));
+		assertThat(this.book.audit(0, Optional.empty())).hasSize(9);
+	}
+
+	@Test
+	void shouldRefuseAnIndexThatDoesNotAscend() {
+		apply(ContractDocuments.apply("asha", "himdugdha", 1, 1));
+		assertThatIllegalArgumentException()
+			.isThrownBy(() -> this.book.apply(1, ContractDocuments.apply("asha", "himdugdha", 2, 1)));
+	}
+
+	private BookOutcome apply(BookCommand command) {
+		return this.book.apply(++this.index, command);
+	}
+
+}
