--- /dev/null
+++ b/vanillatrestle-bench/src/test/java/org/vanillatrestle/bench/serving/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * The serving path as callers meet it, against stand-in targets.
+ */
+package org.vanillatrestle.bench.serving;
--- /dev/null
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/cli/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * The command line.
+ */
+package org.vanillatrestle.daemon.internal.cli;
--- /dev/null
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/directory/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * The directory that tells callers which entry VMs to use.
+ */
+package org.vanillatrestle.daemon.internal.directory;
--- /dev/null
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/http/CallerConnection.java
@@ -0,0 +1,274 @@
+package org.vanillatrestle.daemon.internal.http;
+
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.handler.codec.http.TooLongHttpHeaderException;
+import io.netty.handler.codec.http.TooLongHttpLineException;
+import io.netty.util.ReferenceCountUtil;
+import io.netty.util.concurrent.Future;
+import org.vanillatrestle.daemon.internal.pipeline.CallerRequest;
+import org.vanillatrestle.daemon.internal.pipeline.Refusal;
+import org.vanillatrestle.daemon.internal.pipeline.Refusals;
+import org.vanillatrestle.daemon.internal.settings.HttpLimits;
+
+/**
+ * Receives the requests on one connection, one after the other, and hands each to the
+ * routes once it is complete.
+ * <p>
+ * Memory is bounded: the head and the body by settings, requests sent ahead by
+ * {@link #MAX_WAITING_PARTS}. Used on the VM's event loop.
+ */
+final class CallerConnection extends ChannelInboundHandlerAdapter {
+
+	private static final int MAX_WAITING_PARTS = 32;
+
+	private final HttpLimits limits;
+
+	private final BodyMemory memory;
+
+	private final HttpRoutes routes;
+
+	private final BooleanSupplier shuttingDown;
+
+	private final Deque<HttpObject> waiting = new ArrayDeque<>();
+
+	private HttpRequest head;
+
+	private ByteBuf body = Unpooled.EMPTY_BUFFER;
+
+	private int reservedBytes;
+
+	private boolean busy;
+
+	private boolean rejecting;
+
+	private ConnectionListener listener;
+
+	private Future<?> timer;
+
+	CallerConnection(HttpLimits limits, BodyMemory memory, HttpRoutes routes, BooleanSupplier shuttingDown) {
+		this.limits = limits;
+		this.memory = memory;
+		this.routes = routes;
+		this.shuttingDown = shuttingDown;
+	}
+
+	@Override
+	public void channelActive(ChannelHandlerContext context) {
+		startIdleTimer(context);
+	}
+
+	@Override
+	public void channelRead(ChannelHandlerContext context, Object message) {
+		if (!(message instanceof HttpObject http)) {
+			ReferenceCountUtil.release(message);
+			return;
+		}
+		if (this.busy) {
+			this.waiting.add(http);
+			context.channel().config().setAutoRead(this.waiting.size() < MAX_WAITING_PARTS);
+			return;
+		}
+		read(context, http);
+	}
+
+	private void read(ChannelHandlerContext context, HttpObject http) {
+		if (this.rejecting) {
+			ReferenceCountUtil.release(http);
+			return;
+		}
+		if (http.decoderResult().isFailure()) {
+			ReferenceCountUtil.release(http);
+			reject(context, decodingRefusal(http.decoderResult().cause()));
+			return;
+		}
+		if (http instanceof HttpRequest request) {
+			begin(context, request);
+		}
+		if (http instanceof HttpContent content) {
+			readBody(context, content);
+		}
+	}
+
+	private Refusal decodingRefusal(Throwable cause) {
+		if (cause instanceof TooLongHttpHeaderException || cause instanceof TooLongHttpLineException) {
+			return Refusals.headTooLarge(this.limits.maxHeadBytes());
+		}
+		return Refusals.malformedHttp(String.valueOf(cause.getMessage()));
+	}
+
+	private void begin(ChannelHandlerContext context, HttpRequest request) {
+		this.head = request;
+		startTimer(context, this.limits.bodyTimeoutMillis(),
+				() -> reject(context, Refusals.bodyTooSlow(this.limits.bodyTimeoutMillis())));
+		if (HttpUtil.getContentLength(request, 0L) > this.limits.maxBodyBytes()) {
+			reject(context, Refusals.bodyTooLarge(this.limits.maxBodyBytes()));
+			return;
+		}
+		if (HttpUtil.is100ContinueExpected(request)) {
+			context.writeAndFlush(new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE,
+					Unpooled.EMPTY_BUFFER));
+		}
+	}
+
+	private void readBody(ChannelHandlerContext context, HttpContent content) {
+		try {
+			if (this.rejecting || this.head == null) {
+				return;
+			}
+			if (!append(context, content.content())) {
+				return;
+			}
+		}
+		finally {
+			content.release();
+		}
+		if (content instanceof LastHttpContent) {
+			complete(context);
+		}
+	}
+
+	private boolean append(ChannelHandlerContext context, ByteBuf data) {
+		int bytes = data.readableBytes();
+		if (bytes == 0) {
+			return true;
+		}
+		if (this.reservedBytes + bytes > this.limits.maxBodyBytes()) {
+			reject(context, Refusals.bodyTooLarge(this.limits.maxBodyBytes()));
+			return false;
+		}
+		if (!this.memory.reserve(bytes)) {
+			reject(context, Refusals.memoryFull());
+			return false;
+		}
+		this.reservedBytes += bytes;
+		if (this.body == Unpooled.EMPTY_BUFFER) {
+			this.body = Unpooled.buffer(bytes);
+		}
+		this.body.writeBytes(data);
+		return true;
+	}
+
+	private void complete(ChannelHandlerContext context) {
+		stopTimer();
+		HttpRequest request = this.head;
+		byte[] bytes = new byte[this.body.readableBytes()];
+		this.body.readBytes(bytes);
+		dropBody();
+		this.head = null;
+		this.busy = true;
+		boolean keepAlive = HttpUtil.isKeepAlive(request) && !this.shuttingDown.getAsBoolean();
+		HttpAnswerSink sink = new HttpAnswerSink(context, request.protocolVersion(), keepAlive,
+				() -> answered(context));
+		ConnectionListener routeListener = serve(request, bytes, sink);
+		this.listener = this.busy ? routeListener : null;
+	}
+
+	private ConnectionListener serve(HttpRequest request, byte[] bytes, HttpAnswerSink sink) {
+		String uri = request.uri();
+		int question = uri.indexOf('?');
+		String path = (question < 0) ? uri : uri.substring(0, question);
+		String query = (question < 0) ? "" : uri.substring(question + 1);
+		if (!path.startsWith("/")) {
+			sink.refuse(Refusals.malformedHttp("the path must begin with /"));
+			return null;
+		}
+		return this.routes.serve(new CallerRequest(request.method().name(), path, query, request.headers(), bytes),
+				sink);
+	}
+
+	private void answered(ChannelHandlerContext context) {
+		releaseMemory();
+		this.busy = false;
+		this.listener = null;
+		startIdleTimer(context);
+		context.executor().execute(() -> readWaiting(context));
+	}
+
+	private void readWaiting(ChannelHandlerContext context) {
+		while (!this.busy && !this.waiting.isEmpty()) {
+			read(context, this.waiting.poll());
+		}
+		if (context.channel().isActive()) {
+			context.channel().config().setAutoRead(this.waiting.size() < MAX_WAITING_PARTS);
+		}
+	}
+
+	private void reject(ChannelHandlerContext context, Refusal refusal) {
+		stopTimer();
+		this.rejecting = true;
+		this.head = null;
+		dropBody();
+		releaseMemory();
+		new HttpAnswerSink(context, HttpVersion.HTTP_1_1, false, () -> {
+		}).refuse(refusal);
+	}
+
+	private void startIdleTimer(ChannelHandlerContext context) {
+		startTimer(context, this.limits.idleTimeoutMillis(), context::close);
+	}
+
+	private void startTimer(ChannelHandlerContext context, long delayMillis, Runnable action) {
+		stopTimer();
+		this.timer = context.executor().schedule(action, delayMillis, TimeUnit.MILLISECONDS);
+	}
+
+	private void stopTimer() {
+		if (this.timer != null) {
+			this.timer.cancel(false);
+			this.timer = null;
+		}
+	}
+
+	private void dropBody() {
+		this.body.release();
+		this.body = Unpooled.EMPTY_BUFFER;
+	}
+
+	private void releaseMemory() {
+		this.memory.release(this.reservedBytes);
+		this.reservedBytes = 0;
+	}
+
+	@Override
+	public void channelWritabilityChanged(ChannelHandlerContext context) {
+		if (this.listener != null) {
+			this.listener.writabilityChanged();
+		}
+	}
+
+	@Override
+	public void channelInactive(ChannelHandlerContext context) {
+		stopTimer();
+		dropBody();
+		releaseMemory();
+		this.waiting.forEach(ReferenceCountUtil::release);
+		this.waiting.clear();
+		if (this.listener != null) {
+			ConnectionListener gone = this.listener;
+			this.listener = null;
+			gone.gone();
+		}
+	}
+
+	@Override
+	public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+		context.close();
+	}
+
+}
--- /dev/null
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/http/HttpAnswerSink.java
@@ -0,0 +1,135 @@
+package org.vanillatrestle.daemon.internal.http;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelOption;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.DefaultHttpContent;
+import io.netty.handler.codec.http.DefaultHttpResponse;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.LastHttpContent;
+import org.vanillatrestle.daemon.internal.pipeline.AnswerHead;
+import org.vanillatrestle.daemon.internal.pipeline.AnswerSink;
+import org.vanillatrestle.daemon.internal.pipeline.Refusal;
+import org.vanillatrestle.daemon.internal.pipeline.RefusalWriter;
+
+/**
+ * Writes one answer to a caller's connection.
+ * <p>
+ * Used on the VM's event loop. After {@link #abort()} the connection is reset without a
+ * final chunk.
+ */
+final class HttpAnswerSink implements AnswerSink {
+
+	private final ChannelHandlerContext context;
+
+	private final HttpVersion version;
+
+	private final boolean keepAlive;
+
+	private final Runnable whenComplete;
+
+	private boolean complete;
+
+	HttpAnswerSink(ChannelHandlerContext context, HttpVersion version, boolean keepAlive, Runnable whenComplete) {
+		this.context = context;
+		this.version = version;
+		this.keepAlive = keepAlive;
+		this.whenComplete = whenComplete;
+	}
+
+	@Override
+	public void whole(AnswerHead head, byte[] body) {
+		FullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1,
+				HttpResponseStatus.valueOf(head.status()), Unpooled.wrappedBuffer(body));
+		response.headers().set(head.headers());
+		if (hasBody(head.status())) {
+			response.headers().setInt(HttpHeaderNames.CONTENT_LENGTH, body.length);
+		}
+		setConnection(response);
+		completed(this.context.writeAndFlush(response));
+	}
+
+	private static boolean hasBody(int status) {
+		return status != HttpResponseStatus.NO_CONTENT.code() && status != HttpResponseStatus.NOT_MODIFIED.code();
+	}
+
+	@Override
+	public void head(AnswerHead head) {
+		HttpResponse response = new DefaultHttpResponse(HttpVersion.HTTP_1_1,
+				HttpResponseStatus.valueOf(head.status()));
+		response.headers().set(head.headers());
+		if (HttpVersion.HTTP_1_1.equals(this.version)) {
+			HttpUtil.setTransferEncodingChunked(response, true);
+		}
+		setConnection(response);
+		this.context.writeAndFlush(response);
+	}
+
+	private void setConnection(HttpResponse response) {
+		if (!this.keepAlive) {
+			response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+		}
+	}
+
+	@Override
+	public void body(ByteBuf data) {
+		if (this.complete) {
+			data.release();
+			return;
+		}
+		this.context.writeAndFlush(new DefaultHttpContent(data));
+	}
+
+	@Override
+	public void end() {
+		if (this.complete) {
+			return;
+		}
+		completed(this.context.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT));
+	}
+
+	private void completed(ChannelFuture written) {
+		this.complete = true;
+		if (!this.keepAlive) {
+			written.addListener(ChannelFutureListener.CLOSE);
+		}
+		this.whenComplete.run();
+	}
+
+	@Override
+	public void abort() {
+		if (this.complete) {
+			return;
+		}
+		this.complete = true;
+		Channel channel = this.context.channel();
+		if (channel.isActive()) {
+			channel.config().setOption(ChannelOption.SO_LINGER, 0);
+		}
+		channel.close();
+	}
+
+	@Override
+	public void refuse(Refusal refusal) {
+		HttpHeaders headers = RefusalWriter.headers(refusal);
+		whole(new AnswerHead(refusal.status(), headers), RefusalWriter.body(refusal));
+	}
+
+	@Override
+	public boolean isWritable() {
+		return this.context.channel().isWritable();
+	}
+
+}
--- /dev/null
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/http/HttpRoutes.java
@@ -0,0 +1,38 @@
+package org.vanillatrestle.daemon.internal.http;
+
+import java.util.List;
+
+import org.vanillatrestle.daemon.internal.pipeline.AnswerSink;
+import org.vanillatrestle.daemon.internal.pipeline.CallerRequest;
+import org.vanillatrestle.daemon.internal.pipeline.Refusals;
+
+/**
+ * Hands each request to the first route that serves its path.
+ * <p>
+ * Used on the VM's event loop.
+ */
+public final class HttpRoutes {
+
+	private final List<HttpRoute> routes;
+
+	public HttpRoutes(List<HttpRoute> routes) {
+		this.routes = List.copyOf(routes);
+	}
+
+	/**
+	 * Serves a request.
+	 * @param request the request
+	 * @param sink where the answer goes
+	 * @return what is told of the connection, or {@code null}
+	 */
+	ConnectionListener serve(CallerRequest request, AnswerSink sink) {
+		for (HttpRoute route : this.routes) {
+			if (route.matches(request.path())) {
+				return route.serve(request, sink);
+			}
+		}
+		sink.refuse(Refusals.notFound(request.path()));
+		return null;
+	}
+
+}
--- /dev/null
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/metrics/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Metrics by Micrometer.
+ */
+package org.vanillatrestle.daemon.internal.metrics;
--- /dev/null
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/pipeline/AnswerHead.java
@@ -0,0 +1,15 @@
+package org.vanillatrestle.daemon.internal.pipeline;
+
+import io.netty.handler.codec.http.HttpHeaders;
+
+/**
+ * Status and headers of an answer.
+ * <p>
+ * Not to be changed once handed on; used on the VM's event loop.
+ *
+ * @param status the HTTP status
+ * @param headers the headers, without those that speak of one connection only
+ */
+public record AnswerHead(int status, HttpHeaders headers) {
+
+}
--- /dev/null
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/pipeline/AttemptRun.java
@@ -0,0 +1,129 @@
+package org.vanillatrestle.daemon.internal.pipeline;
+
+import io.netty.buffer.ByteBuf;
+import org.vanillatrestle.Verdict;
+
+/**
+ * One attempt of a {@link DispatchRun}: checks its answer and hands it to the relay.
+ * <p>
+ * Used on the VM's event loop.
+ */
+final class AttemptRun implements AttemptListener {
+
+	private final DispatchRun run;
+
+	private final Exchange exchange;
+
+	private final Route route;
+
+	private final RelaySelector relays;
+
+	private final int resumeOffset;
+
+	private Attempt attempt;
+
+	private AnswerRelay relay;
+
+	AttemptRun(DispatchRun run, Exchange exchange, Route route, RelaySelector relays, int resumeOffset) {
+		this.run = run;
+		this.exchange = exchange;
+		this.route = route;
+		this.relays = relays;
+		this.resumeOffset = resumeOffset;
+	}
+
+	Route route() {
+		return this.route;
+	}
+
+	void started(Attempt newAttempt) {
+		this.attempt = newAttempt;
+		if (!this.exchange.isWritable()) {
+			newAttempt.setReading(false);
+		}
+	}
+
+	void setReading(boolean reading) {
+		if (this.attempt != null) {
+			this.attempt.setReading(reading);
+		}
+	}
+
+	Verdict cancel() {
+		return (this.attempt != null) ? this.attempt.cancel() : Verdict.MAY_HAVE_RUN;
+	}
+
+	@Override
+	public void onHead(AnswerHead head) {
+		if (!this.run.isCurrent(this)) {
+			return;
+		}
+		this.run.firstByte(this);
+		if (isRefusalByTarget(head)) {
+			giveUp(AttemptOutcome.REFUSED, "status " + head.status());
+			return;
+		}
+		if (this.resumeOffset > 0 && !resumesAt(head, this.resumeOffset)) {
+			giveUp(AttemptOutcome.FAILED, "the target did not resume at " + this.resumeOffset);
+			return;
+		}
+		this.relay = this.relays.select(head);
+		this.relay.head(head);
+	}
+
+	/**
+	 * Tells whether the answer says that the target could not do the work now. Only
+	 * idempotent calls are tried again; for others the answer is the caller's.
+	 * @param head status and headers of the answer
+	 * @return whether to try another target
+	 */
+	private boolean isRefusalByTarget(AnswerHead head) {
+		boolean unavailable = head.status() == 429 || head.status() == 502 || head.status() == 503
+				|| head.status() == 504;
+		return unavailable && Verdict.MAY_HAVE_RUN.permitsRepeat(this.exchange.call().repeat());
+	}
+
+	private boolean resumesAt(AnswerHead head, int offset) {
+		return head.status() == 200 && String.valueOf(offset).equals(head.headers().get(HeaderNames.RESUMED));
+	}
+
+	@Override
+	public void onBody(ByteBuf data) {
+		if (!this.run.isCurrent(this) || this.relay == null) {
+			data.release();
+			return;
+		}
+		this.relay.body(data);
+		if (this.relay instanceof EventStreamRelay stream && stream.isOverlong()) {
+			giveUp(AttemptOutcome.FAILED, "an event of the stream is too long");
+			return;
+		}
+		setReading(this.exchange.isWritable());
+	}
+
+	@Override
+	public void onEnd() {
+		if (!this.run.isCurrent(this)) {
+			return;
+		}
+		if (this.relay == null || !this.relay.end()) {
+			this.run.failed(this, AttemptOutcome.FAILED, Verdict.MAY_HAVE_RUN,
+					"the stream ended before its last event");
+			return;
+		}
+		this.run.answered(this);
+	}
+
+	@Override
+	public void onFailure(Verdict verdict, String detail) {
+		if (this.run.isCurrent(this)) {
+			this.run.failed(this, AttemptOutcome.FAILED, verdict, detail);
+		}
+	}
+
+	private void giveUp(AttemptOutcome outcome, String detail) {
+		Verdict verdict = cancel();
+		this.run.failed(this, outcome, verdict.and(Verdict.MAY_HAVE_RUN), detail);
+	}
+
+}
--- /dev/null
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/pipeline/BearerKeys.java
@@ -0,0 +1,72 @@
+package org.vanillatrestle.daemon.internal.pipeline;
+
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+import java.security.NoSuchAlgorithmException;
+import java.util.HexFormat;
+import java.util.Optional;
+
+/**
+ * Reads bearer keys from headers and hashes them.
+ * <p>
+ * Stateless and thread safe. Keys are never logged.
+ */
+public final class BearerKeys {
+
+	private static final String SCHEME = "Bearer ";
+
+	private BearerKeys() {
+	}
+
+	/**
+	 * Reads the key from an {@code Authorization} header.
+	 * @param header the header's value, may be {@code null}
+	 * @return the key, or empty if there is none
+	 */
+	public static Optional<String> fromHeader(String header) {
+		if (header == null || !header.regionMatches(true, 0, SCHEME, 0, SCHEME.length())) {
+			return Optional.empty();
+		}
+		String key = header.substring(SCHEME.length()).trim();
+		return key.isEmpty() ? Optional.empty() : Optional.of(key);
+	}
+
+	/**
+	 * Hashes a text with SHA-256.
+	 * @param text the text
+	 * @return 64 hexadecimal digits in lower case
+	 */
+	public static String sha256(String text) {
+		return HexFormat.of().formatHex(sha256(text.getBytes(StandardCharsets.UTF_8)));
+	}
+
+	/**
+	 * Hashes bytes with SHA-256.
+	 * @param parts the bytes, hashed one after the other
+	 * @return 32 bytes
+	 */
+	public static byte[] sha256(byte[]... parts) {
+		try {
+			MessageDigest digest = MessageDigest.getInstance("SHA-256");
+			for (byte[] part : parts) {
+				digest.update(part);
+			}
+			return digest.digest();
+		}
+		catch (NoSuchAlgorithmException ex) {
+			throw new IllegalStateException("Every Java platform has SHA-256.", ex);
+		}
+	}
+
+	/**
+	 * Compares two hashes in constant time.
+	 * @param left one hash
+	 * @param right the other hash
+	 * @return whether they are equal
+	 */
+	public static boolean sameHash(String left, String right) {
+		return MessageDigest.isEqual(left.getBytes(StandardCharsets.US_ASCII),
+				right.getBytes(StandardCharsets.US_ASCII));
+	}
+
+}
--- /dev/null
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/pipeline/HeaderNames.java
@@ -0,0 +1,75 @@
+package org.vanillatrestle.daemon.internal.pipeline;
+
+import io.netty.util.AsciiString;
+
+/**
+ * The names of the headers that vanillatrestle defines or reads.
+ * <p>
+ * Stateless and thread safe.
+ */
+public final class HeaderNames {
+
+	/**
+	 * The request's id, in every answer and in requests to targets.
+	 */
+	public static final AsciiString REQUEST_ID = AsciiString.cached("Vanillatrestle-Request-Id");
+
+	/**
+	 * The region that processed the request.
+	 */
+	public static final AsciiString REGION = AsciiString.cached("Vanillatrestle-Region");
+
+	/**
+	 * The number of attempts made at targets.
+	 */
+	public static final AsciiString ATTEMPTS = AsciiString.cached("Vanillatrestle-Attempts");
+
+	/**
+	 * The number of this attempt, in requests to targets.
+	 */
+	public static final AsciiString ATTEMPT = AsciiString.cached("Vanillatrestle-Attempt");
+
+	/**
+	 * Whether the request may have run, in every error.
+	 */
+	public static final AsciiString VERDICT = AsciiString.cached("Vanillatrestle-Verdict");
+
+	/**
+	 * The caller's own deadline in milliseconds.
+	 */
+	public static final AsciiString DEADLINE_MILLIS = AsciiString.cached("Vanillatrestle-Deadline-Millis");
+
+	/**
+	 * The priority, in requests to targets.
+	 */
+	public static final AsciiString PRIORITY = AsciiString.cached("Vanillatrestle-Priority");
+
+	/**
+	 * The number of stream events already delivered, in requests to targets.
+	 */
+	public static final AsciiString RESUME_OFFSET = AsciiString.cached("Vanillatrestle-Resume-Offset");
+
+	/**
+	 * The number of stream events that a resumed answer leaves out, in targets' answers.
+	 */
+	public static final AsciiString RESUMED = AsciiString.cached("Vanillatrestle-Resumed");
+
+	/**
+	 * The secret that targets send with announcements.
+	 */
+	public static final AsciiString TARGET_SECRET = AsciiString.cached("Vanillatrestle-Target-Secret");
+
+	/**
+	 * The caller's key of a call that may run at most once.
+	 */
+	public static final AsciiString IDEMPOTENCY_KEY = AsciiString.cached("Idempotency-Key");
+
+	/**
+	 * Set to {@code true} on an answer that was stored by an earlier attempt.
+	 */
+	public static final AsciiString REPLAYED = AsciiString.cached("Vanillatrestle-Replayed");
+
+	private HeaderNames() {
+	}
+
+}
--- /dev/null
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/pipeline/LocalAttempts.java
@@ -0,0 +1,49 @@
+package org.vanillatrestle.daemon.internal.pipeline;
+
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
+import org.vanillatrestle.Repeat;
+import org.vanillatrestle.daemon.internal.target.HopByHopHeaders;
+import org.vanillatrestle.daemon.internal.target.TargetClient;
+import org.vanillatrestle.daemon.internal.target.TargetRequest;
+
+/**
+ * Starts attempts at targets of this data centre.
+ * <p>
+ * The caller's key never reaches a target. At-most-once calls use a new connection. Used
+ * on the VM's event loop.
+ */
+public final class LocalAttempts {
+
+	private final TargetClient client;
+
+	public LocalAttempts(TargetClient client) {
+		this.client = client;
+	}
+
+	/**
+	 * Starts an attempt.
+	 * @param exchange the request
+	 * @param route the target
+	 * @param number the attempt's number
+	 * @param resumeOffset the number of stream events to leave out
+	 * @param listener hears what comes of it
+	 * @return the attempt
+	 */
+	public Attempt start(Exchange exchange, Route.Local route, int number, int resumeOffset, AttemptListener listener) {
+		CallerRequest request = exchange.request();
+		HttpHeaders headers = HopByHopHeaders.copyWithout(request.headers());
+		headers.remove(HttpHeaderNames.AUTHORIZATION);
+		headers.set(HeaderNames.REQUEST_ID, exchange.id().value());
+		headers.setInt(HeaderNames.ATTEMPT, number);
+		headers.setInt(HeaderNames.PRIORITY, exchange.call().service().priority());
+		headers.remove(HeaderNames.RESUME_OFFSET);
+		if (resumeOffset > 0) {
+			headers.setInt(HeaderNames.RESUME_OFFSET, resumeOffset);
+		}
+		boolean fresh = exchange.call().repeat() == Repeat.AT_MOST_ONCE;
+		return this.client.send(new TargetRequest(route.target().address(), request.method(),
+				exchange.call().targetPath(), headers, request.body(), fresh), listener);
+	}
+
+}
--- /dev/null
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/pipeline/Refusals.java
@@ -0,0 +1,158 @@
+package org.vanillatrestle.daemon.internal.pipeline;
+
+import java.util.List;
+
+import org.vanillatrestle.RegionId;
+import org.vanillatrestle.Verdict;
+
+/**
+ * Makes every error answer of the request path, so that their wording is found in one
+ * place.
+ * <p>
+ * Stateless and thread safe.
+ */
+public final class Refusals {
+
+	private static final long NEVER = -1;
+
+	private Refusals() {
+	}
+
+	public static Refusal badRequest(String code, String message) {
+		return new Refusal(400, code, message, Verdict.NOT_RUN, NEVER);
+	}
+
+	public static Refusal missingKey() {
+		return new Refusal(401, "KEY_MISSING",
+				"The request has no bearer key. Send the caller's key, for example 'Authorization: Bearer s3cret'.",
+				Verdict.NOT_RUN, NEVER);
+	}
+
+	public static Refusal unknownKey() {
+		return new Refusal(401, "KEY_UNKNOWN",
+				"No contract in force has a caller with this key. The key may be mistyped or its contract changed;"
+						+ " ask the operators which callers the contract lists.",
+				Verdict.NOT_RUN, NEVER);
+	}
+
+	public static Refusal contractsNotLoaded() {
+		return new Refusal(503, "CONTRACTS_NOT_LOADED",
+				"This VM has started and has not yet received the contracts. Use another entry VM or try again.",
+				Verdict.NOT_RUN, 1_000);
+	}
+
+	public static Refusal unknownService(String service) {
+		return new Refusal(
+				404, "SERVICE_UNKNOWN", "The contract has no service '" + service
+						+ "'. Paths begin with the service's name," + " for example /ledger/balances/17.",
+				Verdict.NOT_RUN, NEVER);
+	}
+
+	public static Refusal unknownModel(String model) {
+		return new Refusal(404, "MODEL_UNKNOWN", "The contract has no service that offers the model '" + model + "'.",
+				Verdict.NOT_RUN, NEVER);
+	}
+
+	public static Refusal notFound(String path) {
+		return new Refusal(404, "PATH_UNKNOWN", "There is nothing at '" + path + "'.", Verdict.NOT_RUN, NEVER);
+	}
+
+	public static Refusal regionNotAllowed(RegionId region, List<String> entries) {
+		return new Refusal(421, "REGION_NOT_ALLOWED",
+				"The contract does not allow processing in region '" + region
+						+ "'. Use one of the entry VMs listed under entries, or ask GET /v1/entry first.",
+				Verdict.NOT_RUN, Verdict.NOT_RUN, NEVER, entries);
+	}
+
+	public static Refusal missingIdempotencyKey(String method, String path) {
+		return new Refusal(400, "IDEMPOTENCY_KEY_MISSING",
+				"The call " + method + " " + path + " may run at most once and needs the header Idempotency-Key,"
+						+ " for example 'Idempotency-Key: payout-2026-11-kavre-17'.",
+				Verdict.NOT_RUN, NEVER);
+	}
+
+	public static Refusal bodyTooLarge(int maxBytes) {
+		return new Refusal(413, "BODY_TOO_LARGE", "The body is longer than " + maxBytes + " bytes.", Verdict.NOT_RUN,
+				NEVER);
+	}
+
+	public static Refusal headTooLarge(int maxBytes) {
+		return new Refusal(431, "HEAD_TOO_LARGE", "The request's head is longer than " + maxBytes + " bytes.",
+				Verdict.NOT_RUN, NEVER);
+	}
+
+	public static Refusal malformedHttp(String detail) {
+		return badRequest("HTTP_MALFORMED", "The request is not valid HTTP/1.1: " + detail);
+	}
+
+	public static Refusal bodyTooSlow(long timeoutMillis) {
+		return new Refusal(408, "BODY_TOO_SLOW",
+				"The request was not complete after " + timeoutMillis + " ms. The network may be slow; send it again.",
+				Verdict.NOT_RUN, NEVER);
+	}
+
+	public static Refusal memoryFull() {
+		return new Refusal(503, "MEMORY_FULL",
+				"This VM holds as many request bodies as its settings allow. Use another entry VM or try again.",
+				Verdict.NOT_RUN, 500);
+	}
+
+	public static Refusal limitReached(String limit, long retryAfterMillis) {
+		return new Refusal(429, "LIMIT_REACHED",
+				"The contract's limit " + limit + " is used up for now. Come back after retryAfterMillis.",
+				Verdict.NOT_RUN, retryAfterMillis);
+	}
+
+	public static Refusal overloaded(String reason, long retryAfterMillis) {
+		return new Refusal(503, "OVERLOADED",
+				"The request could not have been answered in time (" + reason + "). Come back after retryAfterMillis.",
+				Verdict.NOT_RUN, retryAfterMillis);
+	}
+
+	public static Refusal noTarget(String service, long retryAfterMillis) {
+		return new Refusal(503, "NO_CAPACITY",
+				"No target that the contract allows can take a request for '" + service + "' now.", Verdict.NOT_RUN,
+				retryAfterMillis);
+	}
+
+	public static Refusal shuttingDown() {
+		return new Refusal(503, "SHUTTING_DOWN", "This VM is shutting down. Use another entry VM.", Verdict.NOT_RUN, 0);
+	}
+
+	public static Refusal deadlinePassed(long deadlineMillis, Verdict verdict) {
+		return new Refusal(504, "DEADLINE_PASSED", "The request had no answer after its " + deadlineMillis + " ms.",
+				verdict, NEVER);
+	}
+
+	public static Refusal targetBroke(String detail, Verdict verdict) {
+		return new Refusal(502, "TARGET_BROKE", "The target did not give a whole answer (" + detail + ").", verdict,
+				NEVER);
+	}
+
+	public static Refusal keyReused() {
+		return new Refusal(409, "KEY_REUSED",
+				"This Idempotency-Key was used with another request. Use a new key for a new call;"
+						+ " a resend must have the same method, path and body.",
+				Verdict.MAY_HAVE_RUN, Verdict.NOT_RUN, NEVER, List.of());
+	}
+
+	public static Refusal keyUndecided(String detail) {
+		return new Refusal(409, "OUTCOME_UNKNOWN",
+				"An earlier attempt under this Idempotency-Key may have run and its answer is not known (" + detail
+						+ "). Ask the service what happened before using a new key.",
+				Verdict.MAY_HAVE_RUN, Verdict.NOT_RUN, NEVER, List.of());
+	}
+
+	public static Refusal ledgerUnreachable(RegionId home, long retryAfterMillis) {
+		return new Refusal(503, "LEDGER_UNREACHABLE",
+				"The once ledger of the caller's home region '" + home + "' can't be reached, so the call was not"
+						+ " dispatched. Send it again under the same key, best to an entry VM of the home region.",
+				Verdict.MAY_HAVE_RUN, Verdict.NOT_RUN, retryAfterMillis, List.of());
+	}
+
+	public static Refusal internalError() {
+		return new Refusal(500, "INTERNAL", "The VM met an unexpected fault; its log names the request id.",
+				Verdict.MAY_HAVE_RUN, NEVER);
+	}
+
+}
--- /dev/null
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/routes/PipelineRoute.java
@@ -0,0 +1,122 @@
+package org.vanillatrestle.daemon.internal.routes;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.function.LongSupplier;
+
+import org.apache.commons.rng.UniformRandomProvider;
+import org.vanillatrestle.RegionId;
+import org.vanillatrestle.RequestId;
+import org.vanillatrestle.daemon.internal.http.ConnectionListener;
+import org.vanillatrestle.daemon.internal.http.HttpRoute;
+import org.vanillatrestle.daemon.internal.pipeline.AnswerSink;
+import org.vanillatrestle.daemon.internal.pipeline.CallerRequest;
+import org.vanillatrestle.daemon.internal.pipeline.Exchange;
+import org.vanillatrestle.daemon.internal.pipeline.ExchangeListener;
+import org.vanillatrestle.daemon.internal.pipeline.Pipeline;
+import org.vanillatrestle.daemon.internal.pipeline.Refusals;
+import org.vanillatrestle.daemon.internal.pipeline.TracedSink;
+
+/**
+ * Sends callers' requests through the pipeline; serves every path that no other route
+ * serves.
+ * <p>
+ * Used on the VM's event loop.
+ */
+public final class PipelineRoute implements HttpRoute {
+
+	private final Pipeline pipeline;
+
+	private final RegionId region;
+
+	private final UniformRandomProvider random;
+
+	private final LongSupplier clockNanos;
+
+	private final List<ExchangeListener> listeners = new ArrayList<>();
+
+	private final Set<Exchange> active = new HashSet<>();
+
+	private boolean shuttingDown;
+
+	/**
+	 * Creates the route.
+	 * @param pipeline the filters
+	 * @param region this VM's region
+	 * @param random the source of request ids
+	 * @param clockNanos the monotonic clock in nanoseconds
+	 */
+	public PipelineRoute(Pipeline pipeline, RegionId region, UniformRandomProvider random, LongSupplier clockNanos) {
+		this.pipeline = pipeline;
+		this.region = region;
+		this.random = random;
+		this.clockNanos = clockNanos;
+	}
+
+	/**
+	 * Adds a listener for the end of every exchange.
+	 * @param listener the listener
+	 */
+	public void whenEnded(ExchangeListener listener) {
+		this.listeners.add(listener);
+	}
+
+	@Override
+	public boolean matches(String path) {
+		return true;
+	}
+
+	@Override
+	public ConnectionListener serve(CallerRequest request, AnswerSink sink) {
+		RequestId id = RequestId.of(this.random.nextLong(), this.random.nextLong());
+		TracedSink traced = new TracedSink(sink, id, this.region);
+		Exchange exchange = new Exchange(id, request, traced, this.clockNanos.getAsLong());
+		traced.exchange(exchange);
+		if (this.shuttingDown) {
+			exchange.refuse(Refusals.shuttingDown());
+			return null;
+		}
+		this.active.add(exchange);
+		exchange.whenEnded(this.active::remove);
+		this.listeners.forEach(exchange::whenEnded);
+		this.pipeline.run(exchange);
+		return new ExchangeConnection(exchange);
+	}
+
+	/**
+	 * Refuses requests from now on.
+	 */
+	public void startShutdown() {
+		this.shuttingDown = true;
+	}
+
+	/**
+	 * Returns the number of requests without an answer yet.
+	 * @return the number
+	 */
+	public int activeCount() {
+		return this.active.size();
+	}
+
+	/**
+	 * Tells an exchange of its caller's connection. Used on the VM's event loop.
+	 *
+	 * @param exchange the exchange
+	 */
+	private record ExchangeConnection(Exchange exchange) implements ConnectionListener {
+
+		@Override
+		public void gone() {
+			this.exchange.callerGone();
+		}
+
+		@Override
+		public void writabilityChanged() {
+			this.exchange.writabilityChanged();
+		}
+
+	}
+
+}
--- /dev/null
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/routes/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * What is served over HTTP: requests, announcements, health and metrics.
+ */
+package org.vanillatrestle.daemon.internal.routes;
--- /dev/null
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/settings/LogFormat.java
@@ -0,0 +1,20 @@
+package org.vanillatrestle.daemon.internal.settings;
+
+/**
+ * The form of log lines.
+ * <p>
+ * Immutable and thread safe.
+ */
+public enum LogFormat {
+
+	/**
+	 * One line of plain text for each event.
+	 */
+	TEXT,
+
+	/**
+	 * One JSON object for each event.
+	 */
+	JSON
+
+}
--- /dev/null
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/settings/Settings.java
@@ -0,0 +1,272 @@
+package org.vanillatrestle.daemon.internal.settings;
+
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Optional;
+
+import org.vanillatrestle.DataCentreId;
+import org.vanillatrestle.RegionId;
+import org.vanillatrestle.VmId;
+
+/**
+ * The settings of one daemon.
+ * <p>
+ * Immutable and thread safe. The daemon's own VM is one of {@link #vms()}.
+ */
+public final class Settings {
+
+	private final VmSettings self;
+
+	private final List<VmSettings> vms;
+
+	private final Path dataFolder;
+
+	private final Path contractsFolder;
+
+	private final List<OperatorSettings> operators;
+
+	private final String targetSecretSha256;
+
+	private final HttpLimits httpLimits;
+
+	private final TlsFiles peerTls;
+
+	private final LogFormat logFormat;
+
+	private final String logLevel;
+
+	private final long targetTtlMillis;
+
+	private final long shutdownGraceMillis;
+
+	private final long transferPriceMicrosPerMegabyte;
+
+	private Settings(Builder builder) {
+		this.self = builder.self;
+		this.vms = List.copyOf(builder.vms);
+		this.dataFolder = builder.dataFolder;
+		this.contractsFolder = builder.contractsFolder;
+		this.operators = List.copyOf(builder.operators);
+		this.targetSecretSha256 = builder.targetSecretSha256;
+		this.httpLimits = builder.httpLimits;
+		this.peerTls = builder.peerTls;
+		this.logFormat = builder.logFormat;
+		this.logLevel = builder.logLevel;
+		this.targetTtlMillis = builder.targetTtlMillis;
+		this.shutdownGraceMillis = builder.shutdownGraceMillis;
+		this.transferPriceMicrosPerMegabyte = builder.transferPriceMicrosPerMegabyte;
+	}
+
+	/**
+	 * Starts settings with default values.
+	 * @param self the daemon's own VM
+	 * @param vms all known VMs, the own one included
+	 * @return the builder
+	 */
+	public static Builder builder(VmSettings self, List<VmSettings> vms) {
+		return new Builder(self, vms);
+	}
+
+	public VmSettings self() {
+		return this.self;
+	}
+
+	public List<VmSettings> vms() {
+		return this.vms;
+	}
+
+	/**
+	 * Finds a VM.
+	 * @param vm the VM
+	 * @return its settings, or empty if it is not known
+	 */
+	public Optional<VmSettings> vm(VmId vm) {
+		return this.vms.stream().filter((candidate) -> candidate.vm().equals(vm)).findFirst();
+	}
+
+	/**
+	 * Lists the VMs that have a role.
+	 * @param role the role
+	 * @return the VMs in the order of the settings
+	 */
+	public List<VmSettings> withRole(Role role) {
+		return this.vms.stream().filter((candidate) -> candidate.has(role)).toList();
+	}
+
+	/**
+	 * Lists the replicas of a data centre's once ledger.
+	 * @param dataCentre the data centre
+	 * @return the VMs in the order of the settings
+	 */
+	public List<VmSettings> ledgersOf(DataCentreId dataCentre) {
+		return withRole(Role.LEDGER).stream().filter((vm) -> vm.dataCentre().equals(dataCentre)).toList();
+	}
+
+	/**
+	 * Lists the data centres of a region that keep a once ledger.
+	 * @param region the region
+	 * @return the data centres, sorted
+	 */
+	public List<DataCentreId> ledgerDataCentres(RegionId region) {
+		return withRole(Role.LEDGER).stream()
+			.filter((vm) -> vm.region().equals(region))
+			.map(VmSettings::dataCentre)
+			.distinct()
+			.sorted()
+			.toList();
+	}
+
+	public Optional<Path> dataFolder() {
+		return Optional.ofNullable(this.dataFolder);
+	}
+
+	/**
+	 * Returns the folder of contracts that are in force from the start.
+	 * @return the folder, or empty if contracts come from the contract book alone
+	 */
+	public Optional<Path> contractsFolder() {
+		return Optional.ofNullable(this.contractsFolder);
+	}
+
+	public List<OperatorSettings> operators() {
+		return this.operators;
+	}
+
+	/**
+	 * Returns the hash of the secret that targets must send with announcements.
+	 * @return the SHA-256 in hexadecimal digits, or empty if none is asked for
+	 */
+	public Optional<String> targetSecretSha256() {
+		return Optional.ofNullable(this.targetSecretSha256);
+	}
+
+	public HttpLimits httpLimits() {
+		return this.httpLimits;
+	}
+
+	public Optional<TlsFiles> peerTls() {
+		return Optional.ofNullable(this.peerTls);
+	}
+
+	public LogFormat logFormat() {
+		return this.logFormat;
+	}
+
+	public String logLevel() {
+		return this.logLevel;
+	}
+
+	public long targetTtlMillis() {
+		return this.targetTtlMillis;
+	}
+
+	public long shutdownGraceMillis() {
+		return this.shutdownGraceMillis;
+	}
+
+	/**
+	 * Returns the price of a megabyte between regions.
+	 * @return millionths of the currency
+	 */
+	public long transferPriceMicrosPerMegabyte() {
+		return this.transferPriceMicrosPerMegabyte;
+	}
+
+	/**
+	 * Collects settings. Not thread safe.
+	 */
+	public static final class Builder {
+
+		private final VmSettings self;
+
+		private final List<VmSettings> vms;
+
+		private Path dataFolder;
+
+		private Path contractsFolder;
+
+		private List<OperatorSettings> operators = List.of();
+
+		private String targetSecretSha256;
+
+		private HttpLimits httpLimits = HttpLimits.DEFAULT;
+
+		private TlsFiles peerTls;
+
+		private LogFormat logFormat = LogFormat.TEXT;
+
+		private String logLevel = "INFO";
+
+		private long targetTtlMillis = 4_000;
+
+		private long shutdownGraceMillis = 30_000;
+
+		private long transferPriceMicrosPerMegabyte;
+
+		private Builder(VmSettings self, List<VmSettings> vms) {
+			this.self = self;
+			this.vms = vms;
+		}
+
+		public Builder dataFolder(Path dataFolder) {
+			this.dataFolder = dataFolder;
+			return this;
+		}
+
+		public Builder contractsFolder(Path contractsFolder) {
+			this.contractsFolder = contractsFolder;
+			return this;
+		}
+
+		public Builder operators(List<OperatorSettings> operators) {
+			this.operators = operators;
+			return this;
+		}
+
+		public Builder targetSecretSha256(String targetSecretSha256) {
+			this.targetSecretSha256 = targetSecretSha256;
+			return this;
+		}
+
+		public Builder httpLimits(HttpLimits httpLimits) {
+			this.httpLimits = httpLimits;
+			return this;
+		}
+
+		public Builder peerTls(TlsFiles peerTls) {
+			this.peerTls = peerTls;
+			return this;
+		}
+
+		public Builder logFormat(LogFormat logFormat) {
+			this.logFormat = logFormat;
+			return this;
+		}
+
+		public Builder logLevel(String logLevel) {
+			this.logLevel = logLevel;
+			return this;
+		}
+
+		public Builder targetTtlMillis(long targetTtlMillis) {
+			this.targetTtlMillis = targetTtlMillis;
+			return this;
+		}
+
+		public Builder shutdownGraceMillis(long shutdownGraceMillis) {
+			this.shutdownGraceMillis = shutdownGraceMillis;
+			return this;
+		}
+
+		public Builder transferPriceMicrosPerMegabyte(long transferPriceMicrosPerMegabyte) {
+			this.transferPriceMicrosPerMegabyte = transferPriceMicrosPerMegabyte;
+			return this;
+		}
+
+		public Settings build() {
+			return new Settings(this);
+		}
+
+	}
+
+}
--- /dev/null
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/settings/SettingsReader.java
@@ -0,0 +1,237 @@
+package org.vanillatrestle.daemon.internal.settings;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.EnumSet;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.regex.Pattern;
+
+import org.vanillatrestle.DataCentreId;
+import org.vanillatrestle.InvalidDocumentException;
+import org.vanillatrestle.RegionId;
+import org.vanillatrestle.VmId;
+import org.vanillatrestle.internal.json.JsonObject;
+
+/**
+ * Reads settings from JSON and checks them as a whole, before any socket opens.
+ * <p>
+ * Stateless and thread safe. Relative paths are resolved against the settings file's
+ * folder.
+ */
+public final class SettingsReader {
+
+	private static final Pattern SHA_256 = Pattern.compile("[0-9a-f]{64}");
+
+	private static final Set<String> LOG_LEVELS = Set.of("ERROR", "WARN", "INFO", "DEBUG", "TRACE");
+
+	private static final long MAX_MILLIS = 24 * 60 * 60 * 1000L;
+
+	private SettingsReader() {
+	}
+
+	/**
+	 * Reads a settings file.
+	 * @param file the file
+	 * @return the settings
+	 * @throws InvalidDocumentException if the file can't be read or has a fault
+	 */
+	public static Settings readFile(Path file) throws InvalidDocumentException {
+		String json;
+		try {
+			json = Files.readString(file);
+		}
+		catch (IOException ex) {
+			throw new InvalidDocumentException(file.toString(),
+					"the settings file can't be read; check its path and permissions (" + ex + ")");
+		}
+		return read(json, file.toAbsolutePath().getParent());
+	}
+
+	/**
+	 * Reads settings.
+	 * @param json the document
+	 * @param folder the folder against which relative paths are resolved
+	 * @return the settings
+	 * @throws InvalidDocumentException if the document has a fault
+	 */
+	public static Settings read(String json, Path folder) throws InvalidDocumentException {
+		JsonObject top = JsonObject.parse(json);
+		VmId selfId = new VmId(top.name("vm"));
+		List<VmSettings> vms = vms(top);
+		VmSettings self = vms.stream()
+			.filter((vm) -> vm.vm().equals(selfId))
+			.findFirst()
+			.orElseThrow(() -> new InvalidDocumentException(top.path("vm"),
+					"'" + selfId + "' is not one of the VMs listed under vms"));
+		Settings.Builder builder = Settings.builder(self, vms)
+			.operators(operators(top))
+			.targetSecretSha256(top.has("targetSecretSha256") ? sha256(top, "targetSecretSha256") : null)
+			.targetTtlMillis(top.integer("targetTtlMillis", 100, 5_000, 4_000))
+			.shutdownGraceMillis(top.integer("shutdownGraceMillis", 0, MAX_MILLIS, 30_000))
+			.transferPriceMicrosPerMegabyte(top.integer("transferPriceMicrosPerMegabyte", 0, Integer.MAX_VALUE, 0));
+		readDataFolder(top, folder, self, builder);
+		if (top.has("contractsFolder")) {
+			builder.contractsFolder(folder.resolve(top.string("contractsFolder")).normalize());
+		}
+		readHttpLimits(top, builder);
+		readPeerTls(top, folder, builder);
+		readLog(top, builder);
+		top.end();
+		return builder.build();
+	}
+
+	private static void readDataFolder(JsonObject top, Path folder, VmSettings self, Settings.Builder builder)
+			throws InvalidDocumentException {
+		if (top.has("dataFolder")) {
+			builder.dataFolder(folder.resolve(top.string("dataFolder")).normalize());
+			return;
+		}
+		for (Role role : self.roles()) {
+			if (role.needsDisk()) {
+				throw new InvalidDocumentException(top.path("dataFolder"),
+						"the role " + role + " keeps state on a disk; name a folder, for example \"data\"");
+			}
+		}
+	}
+
+	private static List<VmSettings> vms(JsonObject top) throws InvalidDocumentException {
+		List<VmSettings> vms = new ArrayList<>();
+		Set<VmId> ids = new HashSet<>();
+		Set<HostAndPort> addresses = new HashSet<>();
+		Map<DataCentreId, RegionId> regions = new HashMap<>();
+		for (JsonObject item : top.objects("vms")) {
+			VmSettings vm = vm(item);
+			requireDistinct(ids.add(vm.vm()), item.path("vm"), vm.vm());
+			requireDistinct(vm.http().port() == 0 || addresses.add(vm.http()), item.path("http"), vm.http());
+			requireDistinct(vm.peer().port() == 0 || addresses.add(vm.peer()), item.path("peer"), vm.peer());
+			RegionId region = regions.putIfAbsent(vm.dataCentre(), vm.region());
+			if (region != null && !region.equals(vm.region())) {
+				throw new InvalidDocumentException(item.path("region"),
+						"data centre '" + vm.dataCentre() + "' lies in region '" + region + "' by an earlier entry");
+			}
+			vms.add(vm);
+		}
+		requireOddControl(top, vms);
+		return vms;
+	}
+
+	private static void requireOddControl(JsonObject top, List<VmSettings> vms) throws InvalidDocumentException {
+		long controls = vms.stream().filter((vm) -> vm.has(Role.CONTROL)).count();
+		if (controls % 2 == 0 || controls > 9) {
+			throw new InvalidDocumentException(top.path("vms"),
+					"1, 3, 5, 7 or 9 VMs must have the role CONTROL, but " + controls + " have it");
+		}
+	}
+
+	private static VmSettings vm(JsonObject item) throws InvalidDocumentException {
+		VmSettings vm = new VmSettings(new VmId(item.name("vm")), new RegionId(item.name("region")),
+				new DataCentreId(item.name("dataCentre")), roles(item), address(item, "http"), address(item, "peer"));
+		item.end();
+		return vm;
+	}
+
+	private static Set<Role> roles(JsonObject item) throws InvalidDocumentException {
+		EnumSet<Role> roles = EnumSet.noneOf(Role.class);
+		for (String name : item.names("roles")) {
+			try {
+				roles.add(Role.valueOf(name));
+			}
+			catch (IllegalArgumentException ex) {
+				throw new InvalidDocumentException(item.path("roles"),
+						"'" + name + "' is not one of ENTRY, LEDGER, CONTROL");
+			}
+		}
+		if (roles.isEmpty()) {
+			throw new InvalidDocumentException(item.path("roles"), "at least one role is expected");
+		}
+		return roles;
+	}
+
+	private static List<OperatorSettings> operators(JsonObject top) throws InvalidDocumentException {
+		List<OperatorSettings> operators = new ArrayList<>();
+		Set<String> names = new HashSet<>();
+		for (JsonObject item : top.objects("operators")) {
+			OperatorSettings operator = new OperatorSettings(item.name("name"), sha256(item, "keySha256"));
+			requireDistinct(names.add(operator.name()), item.path("name"), operator.name());
+			item.end();
+			operators.add(operator);
+		}
+		return operators;
+	}
+
+	private static void readHttpLimits(JsonObject top, Settings.Builder builder) throws InvalidDocumentException {
+		if (!top.has("httpLimits")) {
+			return;
+		}
+		JsonObject item = top.object("httpLimits");
+		HttpLimits defaults = HttpLimits.DEFAULT;
+		builder
+			.httpLimits(new HttpLimits((int) item.integer("maxHeadBytes", 1024, 1024 * 1024, defaults.maxHeadBytes()),
+					(int) item.integer("maxBodyBytes", 1024, 256 * 1024 * 1024, defaults.maxBodyBytes()),
+					item.integer("maxBodiesBytes", 1024, 4L * 1024 * 1024 * 1024, defaults.maxBodiesBytes()),
+					item.integer("bodyTimeoutMillis", 10, MAX_MILLIS, defaults.bodyTimeoutMillis()),
+					item.integer("idleTimeoutMillis", 10, MAX_MILLIS, defaults.idleTimeoutMillis()),
+					(int) item.integer("maxConnections", 1, 1_000_000, defaults.maxConnections())));
+		item.end();
+	}
+
+	private static void readPeerTls(JsonObject top, Path folder, Settings.Builder builder)
+			throws InvalidDocumentException {
+		if (!top.has("peerTls")) {
+			return;
+		}
+		JsonObject item = top.object("peerTls");
+		builder.peerTls(new TlsFiles(existingFile(item, "certificateFile", folder),
+				existingFile(item, "keyFile", folder), existingFile(item, "trustFile", folder)));
+		item.end();
+	}
+
+	private static Path existingFile(JsonObject item, String field, Path folder) throws InvalidDocumentException {
+		Path file = folder.resolve(item.string(field)).normalize();
+		if (!Files.isReadable(file)) {
+			throw new InvalidDocumentException(item.path(field),
+					"the file '" + file + "' can't be read; check its path and permissions");
+		}
+		return file;
+	}
+
+	private static void readLog(JsonObject top, Settings.Builder builder) throws InvalidDocumentException {
+		if (!top.has("log")) {
+			return;
+		}
+		JsonObject item = top.object("log");
+		String level = item.string("level", "INFO");
+		if (!LOG_LEVELS.contains(level)) {
+			throw new InvalidDocumentException(item.path("level"),
+					"'" + level + "' is not one of ERROR, WARN, INFO, DEBUG, TRACE");
+		}
+		builder.logLevel(level).logFormat(item.constant("format", LogFormat.TEXT));
+		item.end();
+	}
+
+	private static HostAndPort address(JsonObject item, String field) throws InvalidDocumentException {
+		return HostAndPort.parse(item.string(field), item.path(field));
+	}
+
+	private static String sha256(JsonObject item, String field) throws InvalidDocumentException {
+		String value = item.string(field);
+		if (!SHA_256.matcher(value).matches()) {
+			throw new InvalidDocumentException(item.path(field),
+					"64 hexadecimal digits in lower case are expected, as printed by 'vanillatrestle keys hash'");
+		}
+		return value;
+	}
+
+	private static void requireDistinct(boolean distinct, String path, Object value) throws InvalidDocumentException {
+		if (!distinct) {
+			throw new InvalidDocumentException(path, "'" + value + "' is given twice");
+		}
+	}
+
+}
--- /dev/null
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/target/TargetClient.java
@@ -0,0 +1,133 @@
+package org.vanillatrestle.daemon.internal.target;
+
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.Map;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.http.HttpClientCodec;
+import io.netty.handler.codec.http.HttpDecoderConfig;
+import org.vanillatrestle.daemon.internal.pipeline.Attempt;
+import org.vanillatrestle.daemon.internal.pipeline.AttemptListener;
+import org.vanillatrestle.internal.target.TargetAddress;
+
+/**
+ * Sends requests to targets over HTTP/1.1 and keeps idle connections for reuse.
+ * <p>
+ * Used on the VM's event loop only, on which its connections run too.
+ */
+public final class TargetClient implements AutoCloseable {
+
+	private static final int CONNECT_TIMEOUT_MILLIS = 1_000;
+
+	private static final int MAX_IDLE_PER_TARGET = 64;
+
+	private static final int MAX_HEAD_BYTES = 64 * 1024;
+
+	private static final int MAX_CHUNK_BYTES = 64 * 1024;
+
+	private final Bootstrap bootstrap;
+
+	private final Map<TargetAddress, Deque<Channel>> idle = new HashMap<>();
+
+	private boolean closed;
+
+	/**
+	 * Creates a client.
+	 * @param eventLoop the VM's event loop
+	 */
+	public TargetClient(EventLoop eventLoop) {
+		this.bootstrap = new Bootstrap().group(eventLoop)
+			.channel(NioSocketChannel.class)
+			.option(ChannelOption.TCP_NODELAY, true)
+			.option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
+			.handler(new ChannelInitializer<SocketChannel>() {
+				@Override
+				protected void initChannel(SocketChannel channel) {
+					HttpDecoderConfig config = new HttpDecoderConfig().setMaxHeaderSize(MAX_HEAD_BYTES)
+						.setMaxChunkSize(MAX_CHUNK_BYTES);
+					channel.pipeline().addLast(new HttpClientCodec(config, false, false));
+					channel.pipeline().addLast(new TargetConnection(TargetClient.this));
+				}
+			});
+	}
+
+	/**
+	 * Sends a request.
+	 * @param request the request
+	 * @param listener hears what comes of it
+	 * @return the attempt
+	 */
+	public Attempt send(TargetRequest request, AttemptListener listener) {
+		TargetAttempt attempt = new TargetAttempt(request, listener);
+		Channel pooled = request.freshConnection() ? null : takeIdle(request.address());
+		if (pooled != null) {
+			attempt.start(pooled);
+			return attempt;
+		}
+		TargetAddress address = request.address();
+		this.bootstrap.connect(address.host(), address.port())
+			.addListener((ChannelFuture future) -> attempt.connected(future));
+		return attempt;
+	}
+
+	private Channel takeIdle(TargetAddress address) {
+		Deque<Channel> channels = this.idle.get(address);
+		if (channels == null) {
+			return null;
+		}
+		for (Channel channel = channels.pollLast(); channel != null; channel = channels.pollLast()) {
+			if (channel.isActive()) {
+				return channel;
+			}
+		}
+		return null;
+	}
+
+	/**
+	 * Takes back a connection whose exchange is complete.
+	 * @param address the target's address
+	 * @param channel the connection
+	 */
+	void putIdle(TargetAddress address, Channel channel) {
+		Deque<Channel> channels = this.idle.computeIfAbsent(address, (key) -> new ArrayDeque<>());
+		if (this.closed || !channel.isActive() || channels.size() >= MAX_IDLE_PER_TARGET) {
+			channel.close();
+			return;
+		}
+		channel.config().setAutoRead(true);
+		channels.addLast(channel);
+	}
+
+	/**
+	 * Forgets a connection that was closed while idle.
+	 * @param address the target's address
+	 * @param channel the connection
+	 */
+	void removeIdle(TargetAddress address, Channel channel) {
+		Deque<Channel> channels = this.idle.get(address);
+		if (channels == null) {
+			return;
+		}
+		channels.remove(channel);
+		if (channels.isEmpty()) {
+			this.idle.remove(address);
+		}
+	}
+
+	@Override
+	public void close() {
+		this.closed = true;
+		this.idle.values().forEach((channels) -> channels.forEach(Channel::close));
+		this.idle.clear();
+	}
+
+}
--- /dev/null
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/target/TargetConnection.java
@@ -0,0 +1,136 @@
+package org.vanillatrestle.daemon.internal.target;
+
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpStatusClass;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.util.ReferenceCountUtil;
+
+/**
+ * Hands the answers on one connection to the attempt in progress.
+ * <p>
+ * At most one attempt uses the connection at a time. An answer whose end can't be told
+ * from a broken connection counts as failed. Used on the VM's event loop.
+ */
+final class TargetConnection extends ChannelInboundHandlerAdapter {
+
+	private final TargetClient client;
+
+	private TargetAttempt attempt;
+
+	private TargetRequest lastRequest;
+
+	private boolean keepAlive;
+
+	private boolean informational;
+
+	TargetConnection(TargetClient client) {
+		this.client = client;
+	}
+
+	void begin(TargetAttempt newAttempt) {
+		this.attempt = newAttempt;
+		this.lastRequest = newAttempt.request();
+	}
+
+	@Override
+	public void channelRead(ChannelHandlerContext context, Object message) {
+		if (this.attempt == null) {
+			ReferenceCountUtil.release(message);
+			context.close();
+			return;
+		}
+		if (message instanceof HttpObject http && http.decoderResult().isFailure()) {
+			ReferenceCountUtil.release(message);
+			this.attempt.fail("the target's answer is not valid HTTP");
+			return;
+		}
+		if (message instanceof HttpResponse response) {
+			readHead(response);
+		}
+		if (message instanceof HttpContent content) {
+			readContent(context, content);
+		}
+	}
+
+	private void readHead(HttpResponse response) {
+		this.informational = response.status().codeClass() == HttpStatusClass.INFORMATIONAL;
+		if (this.informational) {
+			return;
+		}
+		this.keepAlive = HttpUtil.isKeepAlive(response);
+		if (!hasKnownEnd(response)) {
+			this.attempt.fail("the answer has neither a length nor chunks, so its end can't be told");
+			return;
+		}
+		this.attempt.head(response);
+	}
+
+	private boolean hasKnownEnd(HttpResponse response) {
+		int code = response.status().code();
+		return HttpUtil.isTransferEncodingChunked(response)
+				|| response.headers().contains(HttpHeaderNames.CONTENT_LENGTH)
+				|| code == HttpResponseStatus.NO_CONTENT.code() || code == HttpResponseStatus.NOT_MODIFIED.code()
+				|| "HEAD".equals(this.lastRequest.method());
+	}
+
+	private void readContent(ChannelHandlerContext context, HttpContent content) {
+		boolean last = content instanceof LastHttpContent;
+		if (this.informational) {
+			content.release();
+			this.informational = !last;
+			return;
+		}
+		if (content.content().isReadable()) {
+			this.attempt.body(content.content());
+		}
+		else {
+			content.release();
+		}
+		if (last) {
+			finish(context);
+		}
+	}
+
+	private void finish(ChannelHandlerContext context) {
+		TargetAttempt finished = this.attempt;
+		this.attempt = null;
+		if (finished.isDone()) {
+			context.close();
+			return;
+		}
+		if (this.keepAlive) {
+			this.client.putIdle(this.lastRequest.address(), context.channel());
+		}
+		else {
+			context.close();
+		}
+		finished.end();
+	}
+
+	@Override
+	public void channelInactive(ChannelHandlerContext context) {
+		if (this.attempt != null) {
+			this.attempt.fail("the connection was closed before the answer was whole");
+			return;
+		}
+		if (this.lastRequest != null) {
+			this.client.removeIdle(this.lastRequest.address(), context.channel());
+		}
+	}
+
+	@Override
+	public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+		if (this.attempt != null) {
+			this.attempt.fail("the connection broke: " + cause.getMessage());
+		}
+		context.close();
+	}
+
+}
--- /dev/null
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/target/TargetRequest.java
@@ -0,0 +1,22 @@
+package org.vanillatrestle.daemon.internal.target;
+
+import io.netty.handler.codec.http.HttpHeaders;
+import org.vanillatrestle.internal.target.TargetAddress;
+
+/**
+ * A request as sent to a target.
+ * <p>
+ * Not to be changed once handed on; used on the VM's event loop.
+ *
+ * @param address where the target accepts requests
+ * @param method the HTTP method
+ * @param path path and query
+ * @param headers the headers, without those that speak of one connection only
+ * @param body the body
+ * @param freshConnection whether to use a new connection, so that a broken old one can't
+ * leave open whether the request arrived
+ */
+public record TargetRequest(TargetAddress address, String method, String path, HttpHeaders headers, byte[] body,
+		boolean freshConnection) {
+
+}
--- /dev/null
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/target/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * The HTTP client towards targets.
+ */
+package org.vanillatrestle.daemon.internal.target;
