Add the request-path policy behind one facade

Cause: entry VMs need admission, selection, sending away and retries as pure code. Change: RequestPolicy joins limit shares (loans between VMs), fair bounded queues with early shedding, target selection with corrected load, slow start and ejection, sending away with hysteresis and link budget, retry budgets and cost accounts. Time and randomness are passed in. Tests: RequestPolicyTests; 300 tries of the property that no placement leaves the allowed regions, repeats a target or forwards twice.

--- /dev/null
+++ b/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/cost/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * What each customer's requests cost.
+ */
+package org.vanillatrestle.internal.cost;
--- /dev/null
+++ b/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/policy/PolicySettings.java
@@ -0,0 +1,176 @@
+package org.vanillatrestle.internal.policy;
+
+import java.util.Map;
+
+import org.vanillatrestle.DataCentreId;
+import org.vanillatrestle.internal.admission.AdmissionSettings;
+import org.vanillatrestle.internal.limits.LimitParties;
+import org.vanillatrestle.internal.limits.LimitSettings;
+import org.vanillatrestle.internal.request.LinkSettings;
+import org.vanillatrestle.internal.retry.RetrySettings;
+import org.vanillatrestle.internal.select.SelectSettings;
+import org.vanillatrestle.internal.sendaway.SendAwaySettings;
+
+/**
+ * Settings of the request path.
+ * <p>
+ * Immutable and thread safe.
+ */
+public final class PolicySettings {
+
+	private static final LinkSettings DEFAULT_LINK = new LinkSettings(50_000_000, 1_000_000, 0);
+
+	private final AdmissionSettings admission;
+
+	private final LimitSettings limits;
+
+	private final LimitParties parties;
+
+	private final SelectSettings select;
+
+	private final SendAwaySettings sendAway;
+
+	private final RetrySettings retry;
+
+	private final Map<DataCentreId, LinkSettings> links;
+
+	private final long incarnation;
+
+	private PolicySettings(Builder builder) {
+		this.admission = builder.admission;
+		this.limits = builder.limits;
+		this.parties = builder.parties;
+		this.select = builder.select;
+		this.sendAway = builder.sendAway;
+		this.retry = builder.retry;
+		this.links = Map.copyOf(builder.links);
+		this.incarnation = builder.incarnation;
+	}
+
+	/**
+	 * Starts settings with the defaults.
+	 * @return the builder
+	 */
+	public static Builder builder() {
+		return new Builder();
+	}
+
+	public AdmissionSettings admission() {
+		return this.admission;
+	}
+
+	public LimitSettings limits() {
+		return this.limits;
+	}
+
+	/**
+	 * Returns the VMs among which limits are divided.
+	 * @return the parties, or {@code null} if this VM is the only one of its region
+	 */
+	public LimitParties parties() {
+		return this.parties;
+	}
+
+	public SelectSettings select() {
+		return this.select;
+	}
+
+	public SendAwaySettings sendAway() {
+		return this.sendAway;
+	}
+
+	public RetrySettings retry() {
+		return this.retry;
+	}
+
+	public Map<DataCentreId, LinkSettings> links() {
+		return this.links;
+	}
+
+	/**
+	 * Returns the link to a data centre that {@link #links()} does not name.
+	 * @return the link
+	 */
+	public LinkSettings defaultLink() {
+		return DEFAULT_LINK;
+	}
+
+	/**
+	 * Returns the VM's incarnation.
+	 * @return a number that is greater at each start of the VM
+	 */
+	public long incarnation() {
+		return this.incarnation;
+	}
+
+	/**
+	 * Collects settings. Not thread safe.
+	 */
+	public static final class Builder {
+
+		private AdmissionSettings admission = AdmissionSettings.DEFAULTS;
+
+		private LimitSettings limits = LimitSettings.DEFAULTS;
+
+		private LimitParties parties;
+
+		private SelectSettings select = SelectSettings.DEFAULTS;
+
+		private SendAwaySettings sendAway = SendAwaySettings.DEFAULTS;
+
+		private RetrySettings retry = RetrySettings.DEFAULTS;
+
+		private Map<DataCentreId, LinkSettings> links = Map.of();
+
+		private long incarnation = 1;
+
+		private Builder() {
+		}
+
+		public Builder admission(AdmissionSettings admission) {
+			this.admission = admission;
+			return this;
+		}
+
+		public Builder limits(LimitSettings limits) {
+			this.limits = limits;
+			return this;
+		}
+
+		public Builder parties(LimitParties parties) {
+			this.parties = parties;
+			return this;
+		}
+
+		public Builder select(SelectSettings select) {
+			this.select = select;
+			return this;
+		}
+
+		public Builder sendAway(SendAwaySettings sendAway) {
+			this.sendAway = sendAway;
+			return this;
+		}
+
+		public Builder retry(RetrySettings retry) {
+			this.retry = retry;
+			return this;
+		}
+
+		public Builder links(Map<DataCentreId, LinkSettings> links) {
+			this.links = links;
+			return this;
+		}
+
+		public Builder incarnation(long incarnation) {
+			this.incarnation = incarnation;
+			return this;
+		}
+
+		public PolicySettings build() {
+			return new PolicySettings(this);
+		}
+
+	}
+
+}
--- /dev/null
+++ b/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/request/Attempt.java
@@ -0,0 +1,112 @@
+package org.vanillatrestle.internal.request;
+
+/**
+ * One attempt on its way. It ends once; a second end is ignored.
+ * <p>
+ * Not thread safe: owned by the VM's event loop.
+ */
+public final class Attempt {
+
+	private final Ticket ticket;
+
+	private final Placement placement;
+
+	private final long startedNanos;
+
+	private long firstByteNanos;
+
+	private boolean firstByteSeen;
+
+	private boolean finished;
+
+	private double units = 1;
+
+	private long expectedFirstByteNanos;
+
+	public Attempt(Ticket ticket, Placement placement, long startedNanos) {
+		this.ticket = ticket;
+		this.placement = placement;
+		this.startedNanos = startedNanos;
+	}
+
+	public PolicyRequest request() {
+		return this.ticket.request();
+	}
+
+	public Ticket ticket() {
+		return this.ticket;
+	}
+
+	public Placement placement() {
+		return this.placement;
+	}
+
+	/**
+	 * Returns the monotonic time of the dispatch.
+	 * @return nanoseconds
+	 */
+	public long startedNanos() {
+		return this.startedNanos;
+	}
+
+	/**
+	 * Returns the monotonic time of the answer's first byte.
+	 * @return nanoseconds, meaningful only if {@link #firstByteSeen()}
+	 */
+	public long firstByteNanos() {
+		return this.firstByteNanos;
+	}
+
+	/**
+	 * Returns the work until the first byte that was expected at the dispatch.
+	 * @return tokens to read, and a fixed amount
+	 */
+	public double units() {
+		return this.units;
+	}
+
+	public void units(double newUnits) {
+		this.units = newUnits;
+	}
+
+	/**
+	 * Returns the time to the first byte that was expected at the dispatch.
+	 * @return nanoseconds
+	 */
+	public long expectedFirstByteNanos() {
+		return this.expectedFirstByteNanos;
+	}
+
+	public void expectedFirstByteNanos(long nanos) {
+		this.expectedFirstByteNanos = nanos;
+	}
+
+	public boolean firstByteSeen() {
+		return this.firstByteSeen;
+	}
+
+	/**
+	 * Notes the answer's first byte.
+	 * @param nowNanos the monotonic time in nanoseconds
+	 * @return whether it is the first
+	 */
+	public boolean firstByte(long nowNanos) {
+		if (this.firstByteSeen || this.finished) {
+			return false;
+		}
+		this.firstByteSeen = true;
+		this.firstByteNanos = nowNanos;
+		return true;
+	}
+
+	/**
+	 * Notes the end.
+	 * @return whether the attempt had not ended before
+	 */
+	public boolean finish() {
+		boolean first = !this.finished;
+		this.finished = true;
+		return first;
+	}
+
+}
--- /dev/null
+++ b/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/request/PolicyRequest.java
@@ -0,0 +1,288 @@
+package org.vanillatrestle.internal.request;
+
+import java.util.Optional;
+import java.util.Set;
+
+import org.vanillatrestle.ContractService;
+import org.vanillatrestle.CustomerId;
+import org.vanillatrestle.ModelName;
+import org.vanillatrestle.Objective;
+import org.vanillatrestle.RegionId;
+import org.vanillatrestle.Repeat;
+
+/**
+ * What the policy needs to know of one request.
+ * <p>
+ * Immutable and thread safe. The allowed regions are those of the contract that was in
+ * force when the request arrived; the policy never leaves them.
+ */
+public final class PolicyRequest {
+
+	private final CustomerId customer;
+
+	private final ContractService service;
+
+	private final PoolKey pool;
+
+	private final Optional<ModelName> model;
+
+	private final Repeat repeat;
+
+	private final int priority;
+
+	private final int promptTokens;
+
+	private final int maxTokens;
+
+	private final long prefixHash;
+
+	private final long requestBytes;
+
+	private final long deadlineNanos;
+
+	private final RegionId home;
+
+	private final Objective objective;
+
+	private final Set<RegionId> allowedRegions;
+
+	private final boolean forwarded;
+
+	private PolicyRequest(Builder builder) {
+		this.customer = builder.customer;
+		this.service = builder.service;
+		this.model = Optional.ofNullable(builder.model);
+		this.pool = PoolKey.of(builder.customer, builder.service.name(), this.model);
+		this.repeat = builder.repeat;
+		this.priority = (builder.priority >= 0) ? builder.priority : builder.service.priority();
+		this.promptTokens = builder.promptTokens;
+		this.maxTokens = builder.maxTokens;
+		this.prefixHash = builder.prefixHash;
+		this.requestBytes = builder.requestBytes;
+		this.deadlineNanos = builder.deadlineNanos;
+		this.home = builder.home;
+		this.objective = builder.objective;
+		this.allowedRegions = Set.copyOf(builder.allowedRegions);
+		this.forwarded = builder.forwarded;
+	}
+
+	/**
+	 * Starts a request.
+	 * @param customer the customer
+	 * @param service the service of the customer's contract
+	 * @return the builder
+	 */
+	public static Builder builder(CustomerId customer, ContractService service) {
+		return new Builder(customer, service);
+	}
+
+	public CustomerId customer() {
+		return this.customer;
+	}
+
+	public ContractService service() {
+		return this.service;
+	}
+
+	/**
+	 * Returns the pool of targets that can serve the request.
+	 * @return the pool
+	 */
+	public PoolKey pool() {
+		return this.pool;
+	}
+
+	public Optional<ModelName> model() {
+		return this.model;
+	}
+
+	public Repeat repeat() {
+		return this.repeat;
+	}
+
+	/**
+	 * Returns the priority.
+	 * @return 0 for the lowest to 9
+	 */
+	public int priority() {
+		return this.priority;
+	}
+
+	/**
+	 * Returns the estimated number of tokens of the prompt.
+	 * @return tokens, 0 for plain services
+	 */
+	public int promptTokens() {
+		return this.promptTokens;
+	}
+
+	/**
+	 * Returns the greatest number of tokens of the answer.
+	 * @return tokens, 0 for plain services
+	 */
+	public int maxTokens() {
+		return this.maxTokens;
+	}
+
+	/**
+	 * Returns the hash of the part of the prompt that other requests are likely to share.
+	 * @return the hash, 0 for none
+	 */
+	public long prefixHash() {
+		return this.prefixHash;
+	}
+
+	/**
+	 * Returns the size of the request.
+	 * @return bytes
+	 */
+	public long requestBytes() {
+		return this.requestBytes;
+	}
+
+	/**
+	 * Returns the monotonic time at which the answer is no longer wanted.
+	 * @return nanoseconds
+	 */
+	public long deadlineNanos() {
+		return this.deadlineNanos;
+	}
+
+	public RegionId home() {
+		return this.home;
+	}
+
+	public Objective objective() {
+		return this.objective;
+	}
+
+	/**
+	 * Returns the regions where the request may be processed.
+	 * @return the regions
+	 */
+	public Set<RegionId> allowedRegions() {
+		return this.allowedRegions;
+	}
+
+	/**
+	 * Tells whether another VM sent the request here; such a request is not forwarded
+	 * again and was counted against the contract's limits by its sender.
+	 * @return whether the request has crossed between VMs
+	 */
+	public boolean forwarded() {
+		return this.forwarded;
+	}
+
+	/**
+	 * Returns the tokens that count against the contract's limit.
+	 * @return prompt tokens and the greatest number of answer tokens
+	 */
+	public long countedTokens() {
+		return (long) this.promptTokens + this.maxTokens;
+	}
+
+	/**
+	 * Collects the parts of a request. Not thread safe.
+	 */
+	public static final class Builder {
+
+		private final CustomerId customer;
+
+		private final ContractService service;
+
+		private ModelName model;
+
+		private Repeat repeat = Repeat.AT_MOST_ONCE;
+
+		private int priority = -1;
+
+		private int promptTokens;
+
+		private int maxTokens;
+
+		private long prefixHash;
+
+		private long requestBytes;
+
+		private long deadlineNanos = Long.MAX_VALUE;
+
+		private RegionId home;
+
+		private Objective objective = Objective.TAIL_LATENCY;
+
+		private Set<RegionId> allowedRegions = Set.of();
+
+		private boolean forwarded;
+
+		private Builder(CustomerId customer, ContractService service) {
+			this.customer = customer;
+			this.service = service;
+		}
+
+		public Builder model(ModelName model) {
+			this.model = model;
+			return this;
+		}
+
+		public Builder repeat(Repeat repeat) {
+			this.repeat = repeat;
+			return this;
+		}
+
+		public Builder priority(int priority) {
+			this.priority = priority;
+			return this;
+		}
+
+		public Builder promptTokens(int promptTokens) {
+			this.promptTokens = promptTokens;
+			return this;
+		}
+
+		public Builder maxTokens(int maxTokens) {
+			this.maxTokens = maxTokens;
+			return this;
+		}
+
+		public Builder prefixHash(long prefixHash) {
+			this.prefixHash = prefixHash;
+			return this;
+		}
+
+		public Builder requestBytes(long requestBytes) {
+			this.requestBytes = requestBytes;
+			return this;
+		}
+
+		public Builder deadlineNanos(long deadlineNanos) {
+			this.deadlineNanos = deadlineNanos;
+			return this;
+		}
+
+		public Builder home(RegionId home) {
+			this.home = home;
+			return this;
+		}
+
+		public Builder objective(Objective objective) {
+			this.objective = objective;
+			return this;
+		}
+
+		public Builder allowedRegions(Set<RegionId> allowedRegions) {
+			this.allowedRegions = allowedRegions;
+			return this;
+		}
+
+		public Builder forwarded(boolean forwarded) {
+			this.forwarded = forwarded;
+			return this;
+		}
+
+		public PolicyRequest build() {
+			return new PolicyRequest(this);
+		}
+
+	}
+
+}
--- /dev/null
+++ b/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/request/Ticket.java
@@ -0,0 +1,69 @@
+package org.vanillatrestle.internal.request;
+
+/**
+ * An admitted or queued request.
+ * <p>
+ * Compared by identity. Not thread safe: owned by the VM's event loop. Each ticket is
+ * released once; a second release is ignored.
+ */
+public final class Ticket {
+
+	private final PolicyRequest request;
+
+	private final long arrivedNanos;
+
+	private Stage stage = Stage.QUEUED;
+
+	public Ticket(PolicyRequest request, long arrivedNanos) {
+		this.request = request;
+		this.arrivedNanos = arrivedNanos;
+	}
+
+	public PolicyRequest request() {
+		return this.request;
+	}
+
+	/**
+	 * Returns the monotonic time at which the request arrived.
+	 * @return nanoseconds
+	 */
+	public long arrivedNanos() {
+		return this.arrivedNanos;
+	}
+
+	public Stage stage() {
+		return this.stage;
+	}
+
+	public void stage(Stage stage) {
+		this.stage = stage;
+	}
+
+	/**
+	 * How far a ticket has come.
+	 */
+	public enum Stage {
+
+		/**
+		 * Waits in the queue.
+		 */
+		QUEUED,
+
+		/**
+		 * May be placed and holds a slot of its pool until it is.
+		 */
+		ADMITTED,
+
+		/**
+		 * Was placed at least once.
+		 */
+		PLACED,
+
+		/**
+		 * Has ended.
+		 */
+		RELEASED
+
+	}
+
+}
--- /dev/null
+++ b/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/retry/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Budgets and back-off of retries.
+ */
+package org.vanillatrestle.internal.retry;
--- /dev/null
+++ b/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/select/Pool.java
@@ -0,0 +1,236 @@
+package org.vanillatrestle.internal.select;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+
+import org.vanillatrestle.internal.request.PoolKey;
+
+/**
+ * The targets of one pool as this VM sees them, and the pool's usual speed.
+ * <p>
+ * At most the settings' share of the candidates is ejected. Not thread safe: owned by the
+ * VM's event loop.
+ */
+public final class Pool {
+
+	private static final double SAMPLE_WEIGHT = 0.05;
+
+	private static final double DEFAULT_NANOS_PER_UNIT = 250_000;
+
+	private static final double DEFAULT_SERVICE_NANOS = 2e9;
+
+	private static final double DEFAULT_TOKENS = 100;
+
+	private final PoolKey key;
+
+	private final Average nanosPerUnit = new Average(SAMPLE_WEIGHT);
+
+	private final Average serviceNanos = new Average(SAMPLE_WEIGHT);
+
+	private final Average answerTokens = new Average(SAMPLE_WEIGHT);
+
+	private List<Candidate> candidates = List.of();
+
+	private boolean seen;
+
+	private long version = -1;
+
+	private long viewedNanos;
+
+	private double free;
+
+	private double slots;
+
+	private double outstanding;
+
+	private long minPriceMicros;
+
+	Pool(PoolKey key) {
+		this.key = key;
+	}
+
+	public PoolKey key() {
+		return this.key;
+	}
+
+	List<Candidate> candidates() {
+		return this.candidates;
+	}
+
+	boolean needsView(long registryVersion, long nowNanos, long viewNanos) {
+		return this.version != registryVersion || nowNanos - this.viewedNanos >= viewNanos;
+	}
+
+	boolean firstView() {
+		return !this.seen;
+	}
+
+	void view(List<Candidate> newCandidates, long registryVersion, long nowNanos) {
+		this.candidates = newCandidates;
+		this.seen = this.seen || !newCandidates.isEmpty();
+		this.version = registryVersion;
+		this.viewedNanos = nowNanos;
+	}
+
+	void refresh(SelectSettings settings, long nowNanos) {
+		this.free = 0;
+		this.slots = 0;
+		this.outstanding = 0;
+		this.minPriceMicros = Long.MAX_VALUE;
+		int ejected = 0;
+		for (Candidate candidate : this.candidates) {
+			candidate.refresh(nowNanos, settings);
+			candidate.eject(isOut(candidate.state(), settings, nowNanos));
+			ejected += candidate.ejected() ? 1 : 0;
+			this.minPriceMicros = Math.min(this.minPriceMicros, TargetCosts.referencePrice(candidate.announcement()));
+		}
+		int allowed = this.candidates.size() * settings.maxEjectedPercent() / 100;
+		if (ejected > allowed) {
+			readmit(ejected - allowed);
+		}
+		for (Candidate candidate : this.candidates) {
+			this.free += candidate.free();
+			this.slots += candidate.ejected() ? 0 : candidate.slots();
+			this.outstanding += candidate.ejected() ? 0 : candidate.outstanding();
+		}
+	}
+
+	private boolean isOut(TargetState state, SelectSettings settings, long nowNanos) {
+		if (state.silentNanos(nowNanos) > silenceLimitNanos()) {
+			state.eject(settings, nowNanos);
+		}
+		return state.ejected(nowNanos);
+	}
+
+	private long silenceLimitNanos() {
+		return (long) Math.max(2e9, 2 * this.serviceNanos.orElse(DEFAULT_SERVICE_NANOS));
+	}
+
+	private void readmit(int count) {
+		List<Candidate> out = new ArrayList<>(this.candidates);
+		out.removeIf((candidate) -> !candidate.ejected());
+		out.sort(Comparator.comparingLong((candidate) -> candidate.state().ejectedUntilNanos()));
+		out.subList(0, count).forEach((candidate) -> candidate.eject(false));
+	}
+
+	/**
+	 * Returns the requests that could start at once.
+	 * @return requests
+	 */
+	public double free() {
+		return this.free;
+	}
+
+	/**
+	 * Returns the requests that the targets process at the same time.
+	 * @return requests
+	 */
+	public double slots() {
+		return this.slots;
+	}
+
+	/**
+	 * Tells whether no target is alive.
+	 * @return whether the pool is empty
+	 */
+	public boolean isEmpty() {
+		return this.candidates.isEmpty();
+	}
+
+	/**
+	 * Returns the expected wait of a request behind others.
+	 * @param ahead the requests ahead of it
+	 * @return nanoseconds
+	 */
+	public long waitNanos(double ahead) {
+		double excess = ahead + 1 - this.free;
+		if (excess <= 0) {
+			return 0;
+		}
+		return (long) (excess * serviceNanos() / Math.max(1, this.slots));
+	}
+
+	/**
+	 * Returns the usual time from a dispatch to the end of the answer.
+	 * @return nanoseconds
+	 */
+	public double serviceNanos() {
+		return this.serviceNanos.orElse(DEFAULT_SERVICE_NANOS);
+	}
+
+	/**
+	 * Returns the usual tokens of an answer.
+	 * @return tokens
+	 */
+	public double answerTokens() {
+		return this.answerTokens.orElse(DEFAULT_TOKENS);
+	}
+
+	/**
+	 * Returns the time lost where a prompt is not cached.
+	 * @param promptTokens the prompt's tokens
+	 * @return nanoseconds
+	 */
+	public long coldNanos(int promptTokens) {
+		return (long) (nanosPerUnit() * promptTokens);
+	}
+
+	/**
+	 * Returns the price at the cheapest target with room, or at the cheapest of all.
+	 * @return millionths of the currency for a thousand tokens
+	 */
+	public long cheapestPerThousandTokensMicros() {
+		Candidate cheapest = cheapest();
+		return (cheapest != null) ? cheapest.announcement().capacity().priceMicrosPerThousandTokens() : 0;
+	}
+
+	/**
+	 * Returns the price at the cheapest target with room, or at the cheapest of all.
+	 * @return millionths of the currency for a request
+	 */
+	public long cheapestPerRequestMicros() {
+		Candidate cheapest = cheapest();
+		return (cheapest != null) ? cheapest.announcement().capacity().priceMicrosPerRequest() : 0;
+	}
+
+	private Candidate cheapest() {
+		Candidate best = null;
+		for (Candidate candidate : this.candidates) {
+			boolean better = best == null || (candidate.hasRoom() && !best.hasRoom())
+					|| (candidate.hasRoom() == best.hasRoom() && TargetCosts
+						.referencePrice(candidate.announcement()) < TargetCosts.referencePrice(best.announcement()));
+			if (better) {
+				best = candidate;
+			}
+		}
+		return best;
+	}
+
+	double nanosPerUnit() {
+		return this.nanosPerUnit.orElse(DEFAULT_NANOS_PER_UNIT);
+	}
+
+	long minPriceMicros() {
+		return this.minPriceMicros;
+	}
+
+	double meanUse() {
+		return this.outstanding / Math.max(1, this.slots);
+	}
+
+	double useQuantile(double quantile) {
+		double[] uses = this.candidates.stream().mapToDouble(Candidate::use).sorted().toArray();
+		return uses[(int) Math.min(uses.length - 1, quantile * uses.length)];
+	}
+
+	void firstByteMeasured(double units, long nanos) {
+		this.nanosPerUnit.add(nanos / units);
+	}
+
+	void serviceMeasured(long nanos, long tokens) {
+		this.serviceNanos.add(nanos);
+		this.answerTokens.add(tokens);
+	}
+
+}
--- /dev/null
+++ b/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/select/Rendezvous.java
@@ -0,0 +1,28 @@
+package org.vanillatrestle.internal.select;
+
+/**
+ * Rendezvous hashing weighted by capacity: each VM ranks the targets for a prefix alike
+ * without a message.
+ * <p>
+ * Stateless and thread safe.
+ */
+final class Rendezvous {
+
+	private static final double UNIT = 0x1.0p-53;
+
+	private Rendezvous() {
+	}
+
+	static double weight(long prefixHash, Candidate candidate) {
+		long mixed = mix(prefixHash ^ candidate.state().idHash());
+		double uniform = ((mixed >>> 11) + 0.5) * UNIT;
+		return -candidate.announcement().capacity().maxRunning() / Math.log(uniform);
+	}
+
+	static long mix(long value) {
+		long z = (value ^ (value >>> 33)) * 0xff51afd7ed558ccdL;
+		z = (z ^ (z >>> 33)) * 0xc4ceb9fe1a85ec53L;
+		return z ^ (z >>> 33);
+	}
+
+}
--- /dev/null
+++ b/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/select/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * The selection of a target within the data centre.
+ */
+package org.vanillatrestle.internal.select;
--- a/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/target/TargetRegistry.java
+++ b/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/target/TargetRegistry.java
@@ -27,6 +27,8 @@
 
 	private final Map<TargetId, Entry> entries = new HashMap<>();
 
+	private long version;
+
 	/**
 	 * Creates an empty registry.
 	 * @param dataCentre the data centre whose targets are accepted
@@ -57,9 +59,26 @@
 		boolean sameIncarnation = known != null && known.announcement.incarnation() == announcement.incarnation();
 		boolean leaving = announcement.leaving() || (sameIncarnation && known.leaving);
 		this.entries.put(announcement.target(), new Entry(announcement, leaving, nowNanos));
+		this.version++;
 		return AnnouncementOutcome.ACCEPTED;
 	}
 
+	/**
+	 * Returns a number that grows with each accepted announcement.
+	 * @return the number
+	 */
+	public long version() {
+		return this.version;
+	}
+
+	/**
+	 * Returns the number of remembered targets, expired ones included.
+	 * @return targets
+	 */
+	public int size() {
+		return this.entries.size();
+	}
+
 	/**
 	 * Lists the targets that may get a new request.
 	 * @param customer the request's customer
--- /dev/null
+++ b/vanillatrestle-core/src/test/java/org/vanillatrestle/internal/policy/RequestPolicyTests.java
@@ -0,0 +1,258 @@
+package org.vanillatrestle.internal.policy;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import org.junit.jupiter.api.Test;
+import org.vanillatrestle.CustomerId;
+import org.vanillatrestle.RegionId;
+import org.vanillatrestle.Repeat;
+import org.vanillatrestle.TargetId;
+import org.vanillatrestle.Verdict;
+import org.vanillatrestle.VmId;
+import org.vanillatrestle.internal.request.Admission;
+import org.vanillatrestle.internal.request.Attempt;
+import org.vanillatrestle.internal.request.AttemptOutcome;
+import org.vanillatrestle.internal.request.Placement;
+import org.vanillatrestle.internal.request.PolicyRequest;
+import org.vanillatrestle.internal.request.ReadyTicket;
+import org.vanillatrestle.internal.request.RefusalReason;
+import org.vanillatrestle.internal.request.Ticket;
+import org.vanillatrestle.internal.retry.RetrySettings;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * {@link RequestPolicy} as the daemon uses it.
+ */
+class RequestPolicyTests {
+
+	private static final long SECOND_NANOS = PolicyFixture.SECOND_NANOS;
+
+	private final PolicyFixture fixture = new PolicyFixture();
+
+	private final RequestPolicy policy = this.fixture.policy;
+
+	@Test
+	void shouldPlaceAdmittedRequestOnTarget() {
+		this.fixture.announce("engine-1", 2, 1, false, 0);
+
+		Admission admission = this.policy.arrive(this.fixture.request(), 1);
+
+		assertThat(admission).isInstanceOf(Admission.Admitted.class);
+		assertThat(place(Set.of(), 1)).isEqualTo("engine-1");
+	}
+
+	@Test
+	void shouldQueueWhenTargetsAreFullAndStartAfterAnEnd() {
+		this.fixture.announce("engine-1", 1, 1, false, 0);
+		Attempt running = start(1);
+
+		Admission admission = this.policy.arrive(this.fixture.request(), 2);
+		List<ReadyTicket> before = this.policy.ready(3);
+		this.policy.finished(running, AttemptOutcome.COMPLETED, 100, 4);
+		List<ReadyTicket> after = this.policy.ready(5);
+
+		assertThat(admission).isInstanceOf(Admission.Queued.class);
+		assertThat(before).isEmpty();
+		assertThat(after).singleElement().satisfies((ready) -> assertThat(ready.refusal()).isEmpty());
+	}
+
+	@Test
+	void shouldRefuseAtOnceWhatCannotMeetItsDeadline() {
+		this.fixture.announce("engine-1", 1, 1, false, 0);
+		start(1);
+		PolicyRequest request = this.fixture.request(PolicyFixture.CUSTOMER).deadlineNanos(SECOND_NANOS).build();
+
+		Admission admission = this.policy.arrive(request, 2);
+
+		assertThat(admission).isInstanceOfSatisfying(Admission.Refused.class, (refused) -> {
+			assertThat(refused.reason()).isEqualTo(RefusalReason.DEADLINE);
+			assertThat(refused.retryAfterMillis()).isPositive();
+		});
+	}
+
+	@Test
+	void shouldRefuseAboveLimitOfRequestsInFlightAndAdmitAfterRelease() {
+		PolicyFixture limited = new PolicyFixture(PolicySettings.builder().build(),
+				PolicyFixture.service().maxInFlight(1).build());
+		limited.announce("engine-1", 8, 1, false, 0);
+		Admission.Admitted first = (Admission.Admitted) limited.policy.arrive(limited.request(), 1);
+
+		Admission second = limited.policy.arrive(limited.request(), 2);
+		limited.policy.release(first.ticket(), 300);
+		limited.policy.release(first.ticket(), 300);
+		Admission third = limited.policy.arrive(limited.request(), 3);
+		Admission fourth = limited.policy.arrive(limited.request(), 4);
+
+		assertThat(second).isInstanceOfSatisfying(Admission.Refused.class,
+				(refused) -> assertThat(refused.reason()).isEqualTo(RefusalReason.IN_FLIGHT));
+		assertThat(third).isInstanceOf(Admission.Admitted.class);
+		assertThat(fourth).isInstanceOf(Admission.Refused.class);
+	}
+
+	@Test
+	void shouldNeverPlaceOnLeavingTarget() {
+		this.fixture.announce("engine-1", 8, 1, false, 0);
+		this.fixture.announce("engine-2", 8, 1, false, 0);
+		place(Set.of(), 1);
+
+		this.fixture.announce("engine-1", 8, 1, true, 2);
+
+		for (int i = 0; i < 50; i++) {
+			assertThat(place(Set.of(), 3)).isEqualTo("engine-2");
+		}
+	}
+
+	@Test
+	void shouldEjectTargetThatFailsInARow() {
+		this.fixture.announce("engine-1", 8, 1, false, 0);
+		this.fixture.announce("engine-2", 8, 1, false, 0);
+		long nowNanos = 1;
+		int failures = 0;
+		while (failures < 3) {
+			Attempt attempt = start(nowNanos++);
+			boolean broken = targetOf(attempt.placement()).equals("engine-1");
+			failures += broken ? 1 : 0;
+			this.policy.finished(attempt, broken ? AttemptOutcome.FAILED : AttemptOutcome.COMPLETED, 0, nowNanos);
+			this.policy.release(attempt.ticket(), 0);
+		}
+
+		for (int i = 0; i < 50; i++) {
+			assertThat(place(Set.of(), nowNanos)).isEqualTo("engine-2");
+		}
+	}
+
+	@Test
+	void shouldKeepHalfOfThePoolWhenAllFail() {
+		this.fixture.announce("engine-1", 8, 1, false, 0);
+		this.fixture.announce("engine-2", 8, 1, false, 0);
+
+		for (int i = 0; i < 40; i++) {
+			Attempt attempt = start(i);
+			this.policy.finished(attempt, AttemptOutcome.FAILED, 0, i);
+			this.policy.release(attempt.ticket(), 0);
+		}
+
+		assertThat(this.policy.arrive(this.fixture.request(), 50)).isInstanceOf(Admission.Admitted.class);
+	}
+
+	@Test
+	void shouldCountWhatPeersHoldInFlight() {
+		this.fixture.announce("engine-1", 4, 1, false, 0);
+		this.fixture.announce("engine-2", 4, 1, false, 0);
+
+		this.policy.peerInFlight(new VmId("vm-2"), Map.of(new TargetId("engine-1"), 4), 1);
+
+		for (int i = 0; i < 4; i++) {
+			assertThat(targetOf(start(2).placement())).isEqualTo("engine-2");
+		}
+		assertThat(this.policy.arrive(this.fixture.request(), 3)).isInstanceOf(Admission.Queued.class);
+	}
+
+	@Test
+	void shouldForwardWhenHomeHasNoTargets() {
+		this.fixture.summary("bagmati", 10, 0);
+		PolicyRequest request = this.fixture
+			.request(PolicyFixture.CUSTOMER, PolicyFixture.HOME, new RegionId("bagmati"))
+			.build();
+
+		assertThat(this.policy.arrive(request, 1)).isInstanceOf(Admission.Admitted.class);
+		assertThat(this.policy.place(request, Set.of(), true, 1)).isInstanceOf(Placement.Forward.class);
+		assertThat(this.policy.place(request, Set.of(), false, 1)).isInstanceOf(Placement.None.class);
+	}
+
+	@Test
+	void shouldStopRetriesWhenBudgetIsUsedUp() {
+		PolicyRequest request = this.fixture.request();
+		int retries = 0;
+
+		for (int i = 0; i < 100; i++) {
+			retries += this.policy.mayRetry(request, Verdict.NOT_RUN, 1, 0) ? 1 : 0;
+		}
+
+		assertThat(retries).isEqualTo(this.retryBurst());
+	}
+
+	@Test
+	void shouldNotRetryWhatMayHaveRunUnlessIdempotent() {
+		PolicyRequest once = this.fixture.request(PolicyFixture.CUSTOMER).repeat(Repeat.AT_MOST_ONCE).build();
+
+		assertThat(this.policy.mayRetry(once, Verdict.MAY_HAVE_RUN, 1, 0)).isFalse();
+		assertThat(this.policy.mayRetry(once, Verdict.NOT_RUN, 1, 0)).isTrue();
+		assertThat(this.policy.mayRetry(this.fixture.request(), Verdict.MAY_HAVE_RUN, 1, 0)).isTrue();
+		assertThat(this.policy.mayRetry(this.fixture.request(), Verdict.RAN, 1, 0)).isFalse();
+	}
+
+	@Property(seed = "11", tries = 300)
+	void shouldNeverLeaveAllowedRegionsNorRepeatATargetNorForwardTwice(@ForAll @IntRange(max = 7) int allowedBits,
+			@ForAll @IntRange(max = 6) int targets, @ForAll @IntRange(max = 63) int triedBits,
+			@ForAll boolean forwarded, @ForAll boolean mayForward, @ForAll @IntRange(max = 3) int busy) {
+		PolicyFixture world = new PolicyFixture();
+		for (int i = 0; i < targets; i++) {
+			world.announce("engine-" + i, 1, 1, false, 0);
+		}
+		List<String> regions = List.of("koshi", "bagmati", "lumbini");
+		world.summary("bagmati", 50, 0);
+		world.summary("lumbini", 90, 0);
+		Set<RegionId> allowed = new HashSet<>();
+		for (int i = 0; i < 3; i++) {
+			if ((allowedBits >> i & 1) == 1) {
+				allowed.add(new RegionId(regions.get(i)));
+			}
+		}
+		Set<TargetId> tried = new HashSet<>();
+		for (int i = 0; i < 6; i++) {
+			if ((triedBits >> i & 1) == 1) {
+				tried.add(new TargetId("engine-" + i));
+			}
+		}
+		List<Admission> held = new ArrayList<>();
+		for (int i = 0; i < busy; i++) {
+			held.add(world.policy.arrive(world.request(), 1));
+		}
+		PolicyRequest request = world.request(new CustomerId("other"), allowed.toArray(RegionId[]::new))
+			.allowedRegions(allowed)
+			.forwarded(forwarded)
+			.build();
+
+		Placement placement = world.policy.place(request, tried, mayForward, 2);
+
+		assertThat(held).hasSize(busy);
+		if (placement instanceof Placement.Local local) {
+			assertThat(allowed).contains(PolicyFixture.HOME);
+			assertThat(tried).doesNotContain(local.target().target());
+		}
+		if (placement instanceof Placement.Forward forward) {
+			assertThat(forwarded).isFalse();
+			assertThat(mayForward).isTrue();
+			assertThat(allowed).contains(forward.region());
+			assertThat(forward.region()).isNotEqualTo(PolicyFixture.HOME);
+		}
+	}
+
+	private int retryBurst() {
+		return RetrySettings.DEFAULTS.burst();
+	}
+
+	private String place(Set<TargetId> tried, long nowNanos) {
+		return targetOf(this.policy.place(this.fixture.request(), tried, true, nowNanos));
+	}
+
+	private Attempt start(long nowNanos) {
+		Ticket ticket = ((Admission.Admitted) this.policy.arrive(this.fixture.request(), nowNanos)).ticket();
+		Placement placement = this.policy.place(ticket.request(), Set.of(), true, nowNanos);
+		return this.policy.dispatched(ticket, placement, nowNanos);
+	}
+
+	private static String targetOf(Placement placement) {
+		return ((Placement.Local) placement).target().target().value();
+	}
+
+}
