--- a/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/limits/ServiceLimits.java
+++ b/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/limits/ServiceLimits.java
@@ -16,9 +16,9 @@
  */
 final class ServiceLimits {
 
-	private static final int DEMAND_MARGIN_PERCENT = 115;
+	private static final int DEMAND_MARGIN_PERCENT = 105;
 
-	private static final int SPARE_PERCENT = 3;
+	private static final int SPARE_PERCENT = 2;
 
 	private static final double DEMAND_WEIGHT = 0.5;
 
