Add the membership within a data centre: heartbeats by gossip, suspicion, leaving

Cause: VMs must know which VMs of their data centre work, without a store. Conclusion: a VM that was cut off can't overrule newer heartbeats of others.

--- /dev/null
+++ b/vanillatrestle-core/src/test/java/org/vanillatrestle/internal/membership/MembershipTests.java
@@ -0,0 +1,112 @@
+package org.vanillatrestle.internal.membership;
+
+import java.util.Set;
+
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * The membership within a data centre, case by case.
+ */
+class MembershipTests {
+
+	@Test
+	void shouldLearnOfAllThroughOneSeed() {
+		SimulatedDataCentre dataCentre = new SimulatedDataCentre(6, 1);
+		dataCentre.run(5);
+		assertThat(dataCentre.agree(Set.of(0, 1, 2, 3, 4, 5))).isTrue();
+	}
+
+	@Test
+	void shouldSuspectBeforeDeath() {
+		SimulatedDataCentre dataCentre = new SimulatedDataCentre(4, 2);
+		dataCentre.run(5);
+		dataCentre.events.clear();
+		dataCentre.stopped.add(3);
+		dataCentre.run(20);
+		assertThat(dataCentre.agree(Set.of(0, 1, 2))).isTrue();
+		for (int i = 0; i < 3; i++) {
+			String name = i + " ";
+			assertThat(dataCentre.events.stream().filter((event) -> event.startsWith(name)))
+				.containsExactly(i + " SUSPECTED vm-3", i + " DIED vm-3");
+		}
+	}
+
+	@Test
+	void shouldSuspectAtOnceWhenALinkIsLostAndClearByANewerHeartbeat() {
+		SimulatedDataCentre dataCentre = new SimulatedDataCentre(4, 3);
+		dataCentre.run(5);
+		dataCentre.views.get(0).linkLost(SimulatedDataCentre.vm(2), dataCentre.nowNanos);
+		assertThat(dataCentre.sees(0, 2)).isFalse();
+		dataCentre.run(5);
+		assertThat(dataCentre.agree(Set.of(0, 1, 2, 3))).isTrue();
+	}
+
+	@Test
+	void shouldNotSuspectAVmThatOthersHear() {
+		SimulatedDataCentre dataCentre = new SimulatedDataCentre(5, 4);
+		dataCentre.run(5);
+		dataCentre.events.clear();
+		dataCentre.cut.add("4>0");
+		dataCentre.run(120);
+		assertThat(dataCentre.events).isEmpty();
+	}
+
+	@Test
+	void shouldLearnOfLeavingAtOnce() {
+		SimulatedDataCentre dataCentre = new SimulatedDataCentre(8, 5);
+		dataCentre.run(5);
+		dataCentre.events.clear();
+		dataCentre.views.get(7).leave(dataCentre.nowNanos);
+		dataCentre.run(1);
+		assertThat(dataCentre.events).hasSize(7).allMatch((event) -> event.endsWith("LEFT vm-7"));
+	}
+
+	@Test
+	void shouldReturnFromLongIsolationWithoutHarm() {
+		SimulatedDataCentre dataCentre = new SimulatedDataCentre(5, 6);
+		dataCentre.run(5);
+		dataCentre.isolate(4);
+		dataCentre.run(1_200);
+		assertThat(dataCentre.agree(Set.of(0, 1, 2, 3))).isTrue();
+		assertThat(dataCentre.views.get(4).present()).isEmpty();
+		dataCentre.events.clear();
+		dataCentre.heal();
+		dataCentre.run(5);
+		assertThat(dataCentre.agree(Set.of(0, 1, 2, 3, 4))).isTrue();
+		assertThat(dataCentre.events).allMatch((event) -> event.contains("JOINED"));
+	}
+
+	@Test
+	void shouldTakeARestartWithALowerIncarnationForANewerOne() {
+		SimulatedDataCentre dataCentre = new SimulatedDataCentre(3, 7);
+		dataCentre.start(2, 50);
+		dataCentre.linkUp(0, 2);
+		dataCentre.run(5);
+		dataCentre.start(2, 10);
+		dataCentre.linkUp(0, 2);
+		dataCentre.run(5);
+		assertThat(dataCentre.agree(Set.of(0, 1, 2))).isTrue();
+		assertThat(dataCentre.views.get(2).self().incarnation()).isGreaterThan(50);
+	}
+
+	@Test
+	void shouldChooseTheSameVmEverywhereAndMoveLittle() {
+		SimulatedDataCentre dataCentre = new SimulatedDataCentre(5, 8);
+		dataCentre.run(5);
+		Membership first = dataCentre.views.get(0);
+		String[] before = new String[50];
+		for (int i = 0; i < before.length; i++) {
+			before[i] = first.chosenFor("dc-" + i).value();
+			assertThat(dataCentre.views.get(3).chosenFor("dc-" + i).value()).isEqualTo(before[i]);
+		}
+		dataCentre.views.get(4).leave(dataCentre.nowNanos);
+		dataCentre.run(1);
+		for (int i = 0; i < before.length; i++) {
+			String after = first.chosenFor("dc-" + i).value();
+			assertThat(after.equals(before[i]) || before[i].equals("vm-4")).isTrue();
+		}
+	}
+
+}
