--- /dev/null
+++ b/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/once/Generations.java
@@ -0,0 +1,64 @@
+package org.vanillatrestle.internal.once;
+
+import java.util.ArrayList;
+import java.util.List;
+
+/**
+ * The generations of issued keys that are not retired, ascending.
+ * <p>
+ * Not thread safe. A number that was retired, or that this ledger never opened, is not
+ * live; numbers are never opened twice. A generation is due for retirement once no key of
+ * it was issued for the retention time.
+ */
+final class Generations {
+
+	private final List<Generation> live = new ArrayList<>();
+
+	boolean isEmpty() {
+		return this.live.isEmpty();
+	}
+
+	boolean isLive(long number) {
+		return this.live.stream().anyMatch((generation) -> generation.number() == number);
+	}
+
+	Generation current() {
+		return this.live.get(this.live.size() - 1);
+	}
+
+	void open(long number, long nowMillis) {
+		this.live.add(new Generation(number, nowMillis));
+	}
+
+	void openIfDue(long nowMillis, long generationMillis) {
+		if (nowMillis - current().openedAtMillis() >= generationMillis) {
+			open(current().number() + 1, nowMillis);
+		}
+	}
+
+	List<Long> retireDue(long nowMillis, long retentionMillis) {
+		List<Long> retired = new ArrayList<>();
+		while (this.live.size() > 1 && nowMillis - this.live.get(1).openedAtMillis() >= retentionMillis) {
+			retired.add(this.live.remove(0).number());
+		}
+		return retired;
+	}
+
+	List<Long> retireUpTo(long number) {
+		List<Long> retired = new ArrayList<>();
+		while (this.live.size() > 1 && this.live.get(0).number() <= number) {
+			retired.add(this.live.remove(0).number());
+		}
+		return retired;
+	}
+
+	List<Generation> toList() {
+		return new ArrayList<>(this.live);
+	}
+
+	void restore(List<Generation> generations) {
+		this.live.clear();
+		this.live.addAll(generations);
+	}
+
+}
