--- a/vanillatrestle-bench/src/main/java/org/vanillatrestle/bench/Bench.java
+++ b/vanillatrestle-bench/src/main/java/org/vanillatrestle/bench/Bench.java
@@ -6,6 +6,7 @@
 
 import org.apache.commons.cli.ParseException;
 import org.vanillatrestle.bench.internal.command.EngineCommand;
+import org.vanillatrestle.bench.internal.command.LoadCommand;
 import org.vanillatrestle.bench.internal.command.ServiceCommand;
 
 /**
@@ -15,7 +16,8 @@
  */
 public final class Bench {
 
-	private static final List<BenchCommand> COMMANDS = List.of(new EngineCommand(), new ServiceCommand());
+	private static final List<BenchCommand> COMMANDS = List.of(new EngineCommand(), new ServiceCommand(),
+			new LoadCommand());
 
 	private Bench() {
 	}
--- /dev/null
+++ b/vanillatrestle-bench/src/main/java/org/vanillatrestle/bench/internal/load/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * The open-loop load generator.
+ */
+package org.vanillatrestle.bench.internal.load;
