--- a/vanillatrestle-bench/src/main/java/org/vanillatrestle/bench/internal/engine/EngineHandler.java
+++ b/vanillatrestle-bench/src/main/java/org/vanillatrestle/bench/internal/engine/EngineHandler.java
@@ -81,8 +81,7 @@
 		int offset = request.headers().getInt(OFFSET_HEADER, 0);
 		int priority = request.headers().getInt(PRIORITY_HEADER, 0);
 		Run started = new Run(request);
-		AnswerWriter writer = chat.stream() ? new StreamWriter(context, chat, started)
-				: new WholeWriter(context, chat, started);
+		AnswerWriter writer = chat.stream() ? new StreamWriter(context, chat, offset) : new WholeWriter(context, chat);
 		FaultySink sink = new FaultySink(context, writer, started, fault);
 		Sequence added = new Sequence(chat, offset, priority, this.nextNumber++, fault, sink);
 		if (!this.batch.add(added, context.channel().eventLoop())) {
@@ -173,7 +172,7 @@
 	/**
 	 * Writes an answer as server-sent events.
 	 */
-	private record StreamWriter(ChannelHandlerContext context, ChatRequest chat, Run run) implements AnswerWriter {
+	private record StreamWriter(ChannelHandlerContext context, ChatRequest chat, int offset) implements AnswerWriter {
 
 		@Override
 		public void token(int index, String text) {
@@ -182,7 +181,9 @@
 
 		@Override
 		public void end() {
-			this.context.write(event(ChatJson.lastChunk(this.chat)));
+			if (this.offset <= this.chat.maxTokens()) {
+				this.context.write(event(ChatJson.lastChunk(this.chat)));
+			}
 			this.context.write(event("[DONE]"));
 			this.context.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT);
 		}
@@ -207,7 +208,7 @@
 	/**
 	 * Writes an answer in one piece after its last token.
 	 */
-	private record WholeWriter(ChannelHandlerContext context, ChatRequest chat, Run run) implements AnswerWriter {
+	private record WholeWriter(ChannelHandlerContext context, ChatRequest chat) implements AnswerWriter {
 
 		@Override
 		public void token(int index, String text) {
--- a/vanillatrestle-bench/src/test/java/org/vanillatrestle/bench/internal/engine/StandInEngineTests.java
+++ b/vanillatrestle-bench/src/test/java/org/vanillatrestle/bench/internal/engine/StandInEngineTests.java
@@ -65,6 +65,11 @@
 		assertThat(contents(response.body())).containsExactly(text.token(3), text.token(4));
 	}
 
+	@Test
+	void shouldResumeAfterTheLastChunk() throws Exception {
+		assertThat(send(STREAM, "Vanillatrestle-Resume-Offset", "6").body()).isEqualTo("data: [DONE]\n\n");
+	}
+
 	@Test
 	void shouldAnswerInOnePiece() throws Exception {
 		HttpResponse<String> response = send(WHOLE, "X-Unused", "0");
