Add the deterministic replicated log

Contract book and once ledger need an agreed order of changes that survives the loss of disks and links.

What promises something is held until the writes before it are synced.

--- /dev/null
+++ b/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/log/EntryLog.java
@@ -0,0 +1,150 @@
+package org.vanillatrestle.internal.log;
+
+import java.util.ArrayList;
+import java.util.List;
+
+/**
+ * The entries a replica holds in memory: those after the snapshot, and a bounded number
+ * before it for replicas that are a little behind.
+ * <p>
+ * Indexes are consecutive; the entry before the first one is known by index and term. Not
+ * thread safe.
+ */
+final class EntryLog {
+
+	private final ArrayList<LogEntry> entries = new ArrayList<>();
+
+	private long baseIndex;
+
+	private long baseTerm;
+
+	private long bytes;
+
+	EntryLog(Snapshot snapshot, List<LogEntry> recovered) {
+		this.baseIndex = snapshot.lastIndex();
+		this.baseTerm = snapshot.lastTerm();
+		for (LogEntry entry : recovered) {
+			if (entry.index() != lastIndex() + 1) {
+				throw new IllegalArgumentException("entry " + entry.index() + " does not follow entry " + lastIndex());
+			}
+			add(entry);
+		}
+	}
+
+	long baseIndex() {
+		return this.baseIndex;
+	}
+
+	long lastIndex() {
+		return this.baseIndex + this.entries.size();
+	}
+
+	long lastTerm() {
+		return termAt(lastIndex());
+	}
+
+	boolean knowsTermAt(long index) {
+		return index >= this.baseIndex && index <= lastIndex();
+	}
+
+	long termAt(long index) {
+		return (index == this.baseIndex) ? this.baseTerm : get(index).term();
+	}
+
+	LogEntry get(long index) {
+		return this.entries.get(position(index));
+	}
+
+	long bytes() {
+		return this.bytes;
+	}
+
+	/**
+	 * Consecutive entries from an index on: at least one if there is one, no more than
+	 * fit.
+	 * @param fromIndex the first index
+	 * @param limitBytes the most bytes of more than one entry
+	 * @return the entries, none if the index is after the last
+	 */
+	List<LogEntry> slice(long fromIndex, int limitBytes) {
+		int first = position(fromIndex);
+		int end = first;
+		long size = 0;
+		while (end < this.entries.size()) {
+			size += this.entries.get(end).sizeBytes();
+			if (size > limitBytes && end > first) {
+				break;
+			}
+			end++;
+		}
+		return List.copyOf(this.entries.subList(first, end));
+	}
+
+	void append(List<LogEntry> appended) {
+		truncateFrom(appended.get(0).index());
+		appended.forEach(this::add);
+	}
+
+	long firstIndexOfTermAt(long index) {
+		long term = termAt(index);
+		long first = index;
+		while (first - 1 > this.baseIndex && termAt(first - 1) == term) {
+			first--;
+		}
+		return first;
+	}
+
+	/**
+	 * Drops entries up to the snapshot, but for the last ones that fit in some bytes.
+	 * @param snapshotIndex the last index within the snapshot
+	 * @param trailingBytes the room for entries kept
+	 */
+	void compact(long snapshotIndex, int trailingBytes) {
+		long newBase = snapshotIndex;
+		long kept = 0;
+		while (newBase > this.baseIndex) {
+			kept += get(newBase).sizeBytes();
+			if (kept > trailingBytes) {
+				break;
+			}
+			newBase--;
+		}
+		dropUntil(newBase);
+	}
+
+	void reset(long index, long term) {
+		this.entries.clear();
+		this.bytes = 0;
+		this.baseIndex = index;
+		this.baseTerm = term;
+	}
+
+	private void dropUntil(long newBase) {
+		if (newBase <= this.baseIndex) {
+			return;
+		}
+		long newTerm = termAt(newBase);
+		List<LogEntry> dropped = this.entries.subList(0, position(newBase) + 1);
+		dropped.forEach((entry) -> this.bytes -= entry.sizeBytes());
+		dropped.clear();
+		this.baseIndex = newBase;
+		this.baseTerm = newTerm;
+	}
+
+	private void truncateFrom(long index) {
+		while (lastIndex() >= index) {
+			LogEntry removed = this.entries.remove(this.entries.size() - 1);
+			this.bytes -= removed.sizeBytes();
+		}
+	}
+
+	private void add(LogEntry entry) {
+		this.entries.add(entry);
+		this.bytes += entry.sizeBytes();
+	}
+
+	private int position(long index) {
+		return Math.toIntExact(index - this.baseIndex - 1);
+	}
+
+}
--- /dev/null
+++ b/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/log/LogState.java
@@ -0,0 +1,273 @@
+package org.vanillatrestle.internal.log;
+
+import java.util.List;
+import java.util.Optional;
+
+import org.apache.commons.rng.UniformRandomProvider;
+
+/**
+ * What the parts of a replicated log share: role, term, entries, indexes and the time.
+ * <p>
+ * The term never goes back, committed entries are never cut off, and applied &lt;=
+ * committed &lt;= last. Not thread safe.
+ */
+final class LogState {
+
+	private final ReplicaId self;
+
+	private final LogSettings settings;
+
+	private final UniformRandomProvider random;
+
+	private final Outbox outbox = new Outbox();
+
+	private final EntryLog entries;
+
+	private final MembershipHistory memberships;
+
+	private final SyncedIndex synced;
+
+	private Snapshot snapshot;
+
+	private Role role = Role.FOLLOWER;
+
+	private Vote vote;
+
+	private ReplicaId leader;
+
+	private long commitIndex;
+
+	private long appliedIndex;
+
+	private long nowNanos;
+
+	private long leaderContactNanos;
+
+	private long electionDeadlineNanos;
+
+	private boolean removed;
+
+	private String failure;
+
+	LogState(ReplicaId self, LogSettings settings, RecoveredState recovered, UniformRandomProvider random,
+			long nowNanos) {
+		this.self = self;
+		this.settings = settings;
+		this.random = random;
+		this.entries = new EntryLog(recovered.snapshot(), recovered.entries());
+		this.memberships = new MembershipHistory(recovered.snapshot(), recovered.entries());
+		this.synced = new SyncedIndex(this.entries.lastIndex());
+		this.snapshot = recovered.snapshot();
+		this.vote = atLeastLastTerm(recovered.vote());
+		this.commitIndex = this.snapshot.lastIndex();
+		this.appliedIndex = this.snapshot.lastIndex();
+		this.nowNanos = nowNanos;
+		this.leaderContactNanos = nowNanos;
+		resetElectionDeadline();
+		if (this.snapshot.lastIndex() > 0) {
+			this.outbox.change(new StateChange.Restore(this.snapshot));
+		}
+	}
+
+	private Vote atLeastLastTerm(Vote recovered) {
+		long lastTerm = this.entries.lastTerm();
+		return (recovered.term() >= lastTerm) ? recovered : new Vote(lastTerm, Optional.empty());
+	}
+
+	ReplicaId self() {
+		return this.self;
+	}
+
+	LogSettings settings() {
+		return this.settings;
+	}
+
+	Outbox outbox() {
+		return this.outbox;
+	}
+
+	EntryLog entries() {
+		return this.entries;
+	}
+
+	MembershipHistory memberships() {
+		return this.memberships;
+	}
+
+	Membership membership() {
+		return this.memberships.current();
+	}
+
+	boolean isMembershipCommitted() {
+		return this.memberships.currentIndex() <= this.commitIndex;
+	}
+
+	Snapshot snapshot() {
+		return this.snapshot;
+	}
+
+	Role role() {
+		return this.role;
+	}
+
+	boolean isLeader() {
+		return this.role == Role.LEADER;
+	}
+
+	long term() {
+		return this.vote.term();
+	}
+
+	Vote vote() {
+		return this.vote;
+	}
+
+	Optional<ReplicaId> leader() {
+		return Optional.ofNullable(this.leader);
+	}
+
+	long commitIndex() {
+		return this.commitIndex;
+	}
+
+	long appliedIndex() {
+		return this.appliedIndex;
+	}
+
+	long syncedIndex() {
+		return this.synced.index();
+	}
+
+	long nowNanos() {
+		return this.nowNanos;
+	}
+
+	boolean removed() {
+		return this.removed;
+	}
+
+	Optional<String> failure() {
+		return Optional.ofNullable(this.failure);
+	}
+
+	void setNow(long newNowNanos) {
+		if (newNowNanos - this.nowNanos > 0) {
+			this.nowNanos = newNowNanos;
+		}
+	}
+
+	void setRemoved(boolean removed) {
+		this.removed = removed;
+	}
+
+	void setRole(Role role) {
+		this.role = role;
+	}
+
+	void saveVote(Vote newVote) {
+		if (newVote.equals(this.vote)) {
+			return;
+		}
+		this.vote = newVote;
+		this.outbox.write(new DiskWrite.SaveVote(newVote));
+	}
+
+	/**
+	 * Follows in a term.
+	 * @param term no lower than the current one
+	 * @param newLeader the leader, or null while unknown
+	 */
+	void follow(long term, ReplicaId newLeader) {
+		if (term > term()) {
+			saveVote(new Vote(term, Optional.empty()));
+		}
+		this.role = Role.FOLLOWER;
+		this.leader = newLeader;
+	}
+
+	void setLeader(ReplicaId newLeader) {
+		this.leader = newLeader;
+	}
+
+	void leaderHeard() {
+		this.leaderContactNanos = this.nowNanos;
+		this.removed = false;
+		resetElectionDeadline();
+	}
+
+	long sinceLeaderNanos() {
+		return this.nowNanos - this.leaderContactNanos;
+	}
+
+	boolean hasRecentLeader() {
+		return isLeader() || (this.leader != null && sinceLeaderNanos() < this.settings.electionTimeoutNanos());
+	}
+
+	void resetElectionDeadline() {
+		long timeout = this.settings.electionTimeoutNanos();
+		this.electionDeadlineNanos = this.nowNanos + timeout + this.random.nextLong(timeout);
+	}
+
+	boolean isElectionDue() {
+		return this.nowNanos - this.electionDeadlineNanos >= 0;
+	}
+
+	void append(List<LogEntry> appended) {
+		long first = appended.get(0).index();
+		if (first <= this.commitIndex) {
+			throw new IllegalStateException("entry " + first + " is committed and can't be replaced");
+		}
+		this.entries.append(appended);
+		this.memberships.append(appended);
+		long number = this.outbox.write(new DiskWrite.AppendEntries(List.copyOf(appended)));
+		this.synced.written(number, first, this.entries.lastIndex());
+	}
+
+	void commitTo(long index) {
+		this.commitIndex = Math.max(this.commitIndex, index);
+		while (this.appliedIndex < this.commitIndex) {
+			this.appliedIndex++;
+			this.outbox.change(new StateChange.Apply(this.entries.get(this.appliedIndex)));
+		}
+	}
+
+	void synced(long writeNumber) {
+		this.synced.synced(writeNumber);
+		this.outbox.synced(writeNumber, term());
+	}
+
+	void compact(byte[] state) {
+		long index = this.appliedIndex;
+		this.snapshot = new Snapshot(index, this.entries.termAt(index), this.memberships.at(index), state);
+		this.entries.compact(index, this.settings.trailingBytes());
+		this.memberships.compact(this.entries.baseIndex());
+		this.outbox.write(new DiskWrite.SaveSnapshot(this.snapshot, false));
+	}
+
+	void install(Snapshot installed) {
+		this.snapshot = installed;
+		this.entries.reset(installed.lastIndex(), installed.lastTerm());
+		this.memberships.reset(installed.lastIndex(), installed.membership());
+		this.commitIndex = installed.lastIndex();
+		this.appliedIndex = installed.lastIndex();
+		long number = this.outbox.write(new DiskWrite.SaveSnapshot(installed, true));
+		this.synced.reset(number, installed.lastIndex());
+		this.outbox.change(new StateChange.Restore(installed));
+	}
+
+	void fail(String reason) {
+		this.role = Role.FAILED;
+		this.leader = null;
+		this.failure = reason;
+		this.outbox.discardMessages();
+	}
+
+	void send(ReplicaId to, LogMessage message) {
+		this.outbox.send(new LogEnvelope(membership().group(), this.self, to, message));
+	}
+
+	void sendAfterSync(ReplicaId to, LogMessage message) {
+		this.outbox.sendAfterSync(new LogEnvelope(membership().group(), this.self, to, message), term());
+	}
+
+}
