--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/pipeline/Attempt.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/pipeline/AttemptHandle.java
@@ -7,7 +7,7 @@
  * <p>
  * Used on the VM's event loop.
  */
-public interface Attempt {
+public interface AttemptHandle {
 
 	/**
 	 * Stops the attempt; the listener hears nothing more.
--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/pipeline/AttemptListener.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/pipeline/AttemptListener.java
@@ -8,7 +8,7 @@
  * {@link #onEnd}; or {@link #onFailure} at any time.
  * <p>
  * Called on the VM's event loop. Nothing is called after {@link #onEnd},
- * {@link #onFailure} or {@link Attempt#cancel()}.
+ * {@link #onFailure} or {@link AttemptHandle#cancel()}.
  */
 public interface AttemptListener {
 
--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/pipeline/AttemptRun.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/pipeline/AttemptRun.java
@@ -1,7 +1,13 @@
 package org.vanillatrestle.daemon.internal.pipeline;
 
+import java.util.concurrent.TimeUnit;
+
 import io.netty.buffer.ByteBuf;
+import io.netty.channel.EventLoop;
+import io.netty.util.concurrent.Future;
 import org.vanillatrestle.Verdict;
+import org.vanillatrestle.internal.request.Attempt;
+import org.vanillatrestle.internal.request.AttemptOutcome;
 
 /**
  * One attempt of a {@link DispatchRun}: checks its answer and hands it to the relay.
@@ -14,43 +20,60 @@
 
 	private final Exchange exchange;
 
-	private final Route route;
+	private final Attempt attempt;
 
 	private final RelaySelector relays;
 
 	private final int resumeOffset;
 
-	private Attempt attempt;
+	private AttemptHandle handle;
 
 	private AnswerRelay relay;
 
-	AttemptRun(DispatchRun run, Exchange exchange, Route route, RelaySelector relays, int resumeOffset) {
+	private Future<?> firstByteTimer;
+
+	AttemptRun(DispatchRun run, Exchange exchange, Attempt attempt, RelaySelector relays) {
 		this.run = run;
 		this.exchange = exchange;
-		this.route = route;
+		this.attempt = attempt;
 		this.relays = relays;
-		this.resumeOffset = resumeOffset;
+		this.resumeOffset = relays.resumeOffset();
 	}
 
-	Route route() {
-		return this.route;
+	Attempt attempt() {
+		return this.attempt;
+	}
+
+	int resumeOffset() {
+		return this.resumeOffset;
+	}
+
+	void watchFirstByte(EventLoop eventLoop, long timeoutNanos) {
+		this.firstByteTimer = eventLoop.schedule(this::firstByteMissing, timeoutNanos, TimeUnit.NANOSECONDS);
+	}
+
+	private void firstByteMissing() {
+		if (this.run.isCurrent(this) && this.relay == null) {
+			giveUp(AttemptOutcome.TIMED_OUT, "no answer came in time");
+		}
 	}
 
-	void started(Attempt newAttempt) {
-		this.attempt = newAttempt;
+	void started(AttemptHandle newHandle) {
+		this.handle = newHandle;
 		if (!this.exchange.isWritable()) {
-			newAttempt.setReading(false);
+			newHandle.setReading(false);
 		}
 	}
 
 	void setReading(boolean reading) {
-		if (this.attempt != null) {
-			this.attempt.setReading(reading);
+		if (this.handle != null) {
+			this.handle.setReading(reading);
 		}
 	}
 
 	Verdict cancel() {
-		return (this.attempt != null) ? this.attempt.cancel() : Verdict.MAY_HAVE_RUN;
+		this.firstByteTimer.cancel(false);
+		return (this.handle != null) ? this.handle.cancel() : Verdict.MAY_HAVE_RUN;
 	}
 
 	@Override
@@ -58,6 +81,7 @@
 		if (!this.run.isCurrent(this)) {
 			return;
 		}
+		this.firstByteTimer.cancel(false);
 		this.run.firstByte(this);
 		if (isRefusalByTarget(head)) {
 			giveUp(AttemptOutcome.REFUSED, "status " + head.status());
@@ -116,14 +140,14 @@
 
 	@Override
 	public void onFailure(Verdict verdict, String detail) {
+		this.firstByteTimer.cancel(false);
 		if (this.run.isCurrent(this)) {
 			this.run.failed(this, AttemptOutcome.FAILED, verdict, detail);
 		}
 	}
 
 	private void giveUp(AttemptOutcome outcome, String detail) {
-		Verdict verdict = cancel();
-		this.run.failed(this, outcome, verdict.and(Verdict.MAY_HAVE_RUN), detail);
+		this.run.failed(this, outcome, cancel(), detail);
 	}
 
 }
--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/pipeline/DispatchFilter.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/pipeline/DispatchFilter.java
@@ -2,8 +2,10 @@
 
 import java.util.HashSet;
 import java.util.Set;
+import java.util.function.LongSupplier;
 
 import io.netty.channel.EventLoop;
+import org.vanillatrestle.internal.policy.RequestPolicy;
 
 /**
  * Chooses targets, makes attempts and relays the answer; the last filter.
@@ -14,27 +16,33 @@
 
 	private final EventLoop eventLoop;
 
-	private final Router router;
+	private final RequestPolicy policy;
 
 	private final AttemptStarter starter;
 
+	private final LongSupplier clockNanos;
+
 	private final Set<DispatchRun> running = new HashSet<>();
 
 	/**
 	 * Creates the filter.
 	 * @param eventLoop the VM's event loop
-	 * @param router decides where attempts go
+	 * @param policy decides where attempts go
 	 * @param starter starts attempts
+	 * @param clockNanos the monotonic clock in nanoseconds
 	 */
-	public DispatchFilter(EventLoop eventLoop, Router router, AttemptStarter starter) {
+	public DispatchFilter(EventLoop eventLoop, RequestPolicy policy, AttemptStarter starter,
+			LongSupplier clockNanos) {
 		this.eventLoop = eventLoop;
-		this.router = router;
+		this.policy = policy;
 		this.starter = starter;
+		this.clockNanos = clockNanos;
 	}
 
 	@Override
 	public void apply(Exchange exchange, Continuation next) {
-		DispatchRun run = new DispatchRun(exchange, this.eventLoop, this.router, this.starter, this.running::remove);
+		AttemptLog attempts = new AttemptLog(exchange, this.policy, this.clockNanos);
+		DispatchRun run = new DispatchRun(exchange, this.eventLoop, attempts, this.starter, this.running::remove);
 		this.running.add(run);
 		run.start();
 	}
--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/pipeline/DispatchRun.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/pipeline/DispatchRun.java
@@ -1,7 +1,5 @@
 package org.vanillatrestle.daemon.internal.pipeline;
 
-import java.util.HashSet;
-import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 
@@ -9,8 +7,9 @@
 import io.netty.util.concurrent.Future;
 import org.jboss.logging.Logger;
 import org.vanillatrestle.Repeat;
-import org.vanillatrestle.TargetId;
 import org.vanillatrestle.Verdict;
+import org.vanillatrestle.internal.request.AttemptOutcome;
+import org.vanillatrestle.internal.request.Placement;
 
 /**
  * The attempts of one request, one after the other, until it has its answer.
@@ -27,14 +26,12 @@
 
 	private final EventLoop eventLoop;
 
-	private final Router router;
+	private final AttemptLog attempts;
 
 	private final AttemptStarter starter;
 
 	private final Consumer<DispatchRun> whenDone;
 
-	private final Set<TargetId> tried = new HashSet<>();
-
 	private final RelaySelector relays;
 
 	private Verdict verdict = Verdict.NOT_RUN;
@@ -47,39 +44,36 @@
 
 	private boolean done;
 
-	DispatchRun(Exchange exchange, EventLoop eventLoop, Router router, AttemptStarter starter,
+	DispatchRun(Exchange exchange, EventLoop eventLoop, AttemptLog attempts, AttemptStarter starter,
 			Consumer<DispatchRun> whenDone) {
 		this.exchange = exchange;
 		this.eventLoop = eventLoop;
-		this.router = router;
+		this.attempts = attempts;
 		this.starter = starter;
 		this.whenDone = whenDone;
-		this.relays = new RelaySelector(exchange, System::nanoTime);
+		this.relays = new RelaySelector(exchange, attempts.clockNanos());
 	}
 
 	void start() {
 		this.exchange.cancellation(this::callerGone);
 		this.exchange.writabilityListener(this::writabilityChanged);
-		long remainingNanos = this.exchange.deadlineNanos() - System.nanoTime();
+		long remainingNanos = this.exchange.deadlineNanos() - this.attempts.nowNanos();
 		this.deadlineTimer = this.eventLoop.schedule(this::deadlinePassed, remainingNanos, TimeUnit.NANOSECONDS);
 		attempt(null);
 	}
 
 	private void attempt(String lastFailure) {
-		Route route = this.router.route(this.exchange, this.tried);
-		if (route instanceof Route.Nowhere nowhere) {
+		Placement placement = this.attempts.place();
+		if (placement instanceof Placement.None none) {
 			fail((lastFailure != null) ? Refusals.targetBroke(lastFailure, this.verdict) : Refusals
-				.noTarget(this.exchange.call().service().name() + ": " + nowhere.reason(), nowhere.retryAfterMillis()));
+				.noTarget(this.exchange.call().service().name().value(), none.retryAfterMillis()));
 			return;
 		}
-		if (route instanceof Route.Local local) {
-			this.tried.add(local.target().target());
-		}
 		int number = this.exchange.nextAttempt();
-		this.router.dispatched(this.exchange, route);
-		AttemptRun run = new AttemptRun(this, this.exchange, route, this.relays, this.relays.resumeOffset());
+		AttemptRun run = new AttemptRun(this, this.exchange, this.attempts.begin(placement), this.relays);
 		this.current = run;
-		run.started(this.starter.start(this.exchange, route, number, this.relays.resumeOffset(), run));
+		run.watchFirstByte(this.eventLoop, this.attempts.firstByteTimeoutNanos());
+		run.started(this.starter.start(this.exchange, placement, number, run.resumeOffset(), run));
 	}
 
 	boolean isCurrent(AttemptRun run) {
@@ -87,20 +81,20 @@
 	}
 
 	void firstByte(AttemptRun run) {
-		this.router.firstByte(this.exchange, run.route());
+		this.attempts.firstByte(run.attempt());
 	}
 
 	void answered(AttemptRun run) {
 		this.current = null;
 		this.verdict = Verdict.RAN;
-		this.router.finished(this.exchange, run.route(), AttemptOutcome.ANSWERED, this.relays.tokens());
+		this.attempts.finished(run.attempt(), AttemptOutcome.COMPLETED, this.relays.tokens());
 		finish();
 	}
 
 	void failed(AttemptRun run, AttemptOutcome outcome, Verdict attemptVerdict, String detail) {
 		this.current = null;
 		this.relays.reset();
-		this.router.finished(this.exchange, run.route(), outcome, this.relays.tokens());
+		this.attempts.finished(run.attempt(), outcome, this.relays.tokens());
 		this.verdict = this.verdict.and(attemptVerdict);
 		logger.debugf("Dispatch: attempt %d of request %s failed, %s: %s.", this.exchange.attempts(),
 				this.exchange.id(), attemptVerdict, detail);
@@ -108,7 +102,7 @@
 			finish();
 			return;
 		}
-		long delayNanos = retryDelayNanos();
+		long delayNanos = (this.relays.resumeOffset() < 0) ? -1 : this.attempts.retryDelayNanos(this.verdict);
 		if (delayNanos < 0) {
 			fail(Refusals.targetBroke(detail, this.verdict));
 			return;
@@ -116,21 +110,11 @@
 		this.retryTimer = this.eventLoop.schedule(() -> attempt(detail), delayNanos, TimeUnit.NANOSECONDS);
 	}
 
-	private long retryDelayNanos() {
-		boolean permitted = this.verdict.permitsRepeat(this.exchange.call().repeat());
-		if (!permitted || this.relays.resumeOffset() < 0) {
-			return -1;
-		}
-		long delayNanos = this.router.retryDelayNanos(this.exchange, this.verdict);
-		boolean inTime = System.nanoTime() + delayNanos < this.exchange.deadlineNanos();
-		return inTime ? delayNanos : -1;
-	}
-
 	private void deadlinePassed() {
 		if (this.done) {
 			return;
 		}
-		stopCurrent();
+		stopCurrent(AttemptOutcome.TIMED_OUT);
 		fail(Refusals.deadlinePassed(this.exchange.call().deadlineMillis(), this.verdict));
 	}
 
@@ -140,11 +124,11 @@
 		if (this.done || answerMustBeRecorded) {
 			return;
 		}
-		stopCurrent();
+		stopCurrent(AttemptOutcome.CANCELLED);
 		finish();
 	}
 
-	private void stopCurrent() {
+	private void stopCurrent(AttemptOutcome outcome) {
 		if (this.retryTimer != null) {
 			this.retryTimer.cancel(false);
 		}
@@ -155,7 +139,7 @@
 		this.current = null;
 		this.verdict = this.verdict.and(stopped.cancel());
 		this.relays.reset();
-		this.router.finished(this.exchange, stopped.route(), AttemptOutcome.CANCELLED, this.relays.tokens());
+		this.attempts.finished(stopped.attempt(), outcome, this.relays.tokens());
 	}
 
 	private void writabilityChanged() {
--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/pipeline/Exchange.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/pipeline/Exchange.java
@@ -10,6 +10,7 @@
 import org.vanillatrestle.OnceKey;
 import org.vanillatrestle.RequestId;
 import org.vanillatrestle.Verdict;
+import org.vanillatrestle.internal.request.Ticket;
 
 /**
  * One request on its way through the pipeline, with what the filters have found out.
@@ -39,8 +40,12 @@
 
 	private OnceClaim claim;
 
+	private Ticket ticket;
+
 	private int attempts;
 
+	private long usedTokens;
+
 	private boolean headSent;
 
 	private boolean ended;
@@ -135,6 +140,30 @@
 		this.claim = claim;
 	}
 
+	public Ticket ticket() {
+		return this.ticket;
+	}
+
+	/**
+	 * Notes that the policy has admitted the request or lets it wait.
+	 * @param ticket the policy's ticket
+	 */
+	public void ticket(Ticket ticket) {
+		this.ticket = ticket;
+	}
+
+	/**
+	 * Returns the tokens that count against the contract's limit.
+	 * @return tokens of the prompt and of all answers; 0 if no attempt was made
+	 */
+	public long usedTokens() {
+		return (this.attempts > 0) ? this.call.promptTokens() + this.usedTokens : 0;
+	}
+
+	void addUsedTokens(int tokens) {
+		this.usedTokens += tokens;
+	}
+
 	/**
 	 * Returns the monotonic time at which the request must be answered.
 	 * @return nanoseconds
--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/pipeline/LocalAttempts.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/pipeline/LocalAttempts.java
@@ -6,6 +6,7 @@
 import org.vanillatrestle.daemon.internal.target.HopByHopHeaders;
 import org.vanillatrestle.daemon.internal.target.TargetClient;
 import org.vanillatrestle.daemon.internal.target.TargetRequest;
+import org.vanillatrestle.internal.request.Placement;
 
 /**
  * Starts attempts at targets of this data centre.
@@ -24,13 +25,13 @@
 	/**
 	 * Starts an attempt.
 	 * @param exchange the request
-	 * @param route the target
+	 * @param placement the target
 	 * @param number the attempt's number
 	 * @param resumeOffset the number of stream events to leave out
 	 * @param listener hears what comes of it
 	 * @return the attempt
 	 */
-	public Attempt start(Exchange exchange, Route.Local route, int number, int resumeOffset, AttemptListener listener) {
+	public AttemptHandle start(Exchange exchange, Placement.Local placement, int number, int resumeOffset, AttemptListener listener) {
 		CallerRequest request = exchange.request();
 		HttpHeaders headers = HopByHopHeaders.copyWithout(request.headers());
 		headers.remove(HttpHeaderNames.AUTHORIZATION);
@@ -42,7 +43,7 @@
 			headers.setInt(HeaderNames.RESUME_OFFSET, resumeOffset);
 		}
 		boolean fresh = exchange.call().repeat() == Repeat.AT_MOST_ONCE;
-		return this.client.send(new TargetRequest(route.target().address(), request.method(),
+		return this.client.send(new TargetRequest(placement.target().address(), request.method(),
 				exchange.call().targetPath(), headers, request.body(), fresh), listener);
 	}
 
--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/target/TargetAttempt.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/target/TargetAttempt.java
@@ -14,7 +14,7 @@
 import io.netty.handler.codec.http.HttpVersion;
 import org.vanillatrestle.Verdict;
 import org.vanillatrestle.daemon.internal.pipeline.AnswerHead;
-import org.vanillatrestle.daemon.internal.pipeline.Attempt;
+import org.vanillatrestle.daemon.internal.pipeline.AttemptHandle;
 import org.vanillatrestle.daemon.internal.pipeline.AttemptListener;
 
 /**
@@ -24,7 +24,7 @@
  * {@link Verdict#NOT_RUN} only as long as no byte was handed to a connected socket. Used
  * on the VM's event loop.
  */
-final class TargetAttempt implements Attempt {
+final class TargetAttempt implements AttemptHandle {
 
 	private final TargetRequest request;
 
--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/target/TargetClient.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/target/TargetClient.java
@@ -15,7 +15,7 @@
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpDecoderConfig;
-import org.vanillatrestle.daemon.internal.pipeline.Attempt;
+import org.vanillatrestle.daemon.internal.pipeline.AttemptHandle;
 import org.vanillatrestle.daemon.internal.pipeline.AttemptListener;
 import org.vanillatrestle.internal.target.TargetAddress;
 
@@ -66,7 +66,7 @@
 	 * @param listener hears what comes of it
 	 * @return the attempt
 	 */
-	public Attempt send(TargetRequest request, AttemptListener listener) {
+	public AttemptHandle send(TargetRequest request, AttemptListener listener) {
 		TargetAttempt attempt = new TargetAttempt(request, listener);
 		Channel pooled = request.freshConnection() ? null : takeIdle(request.address());
 		if (pooled != null) {
