--- a/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/membership/Membership.java
+++ b/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/membership/Membership.java
@@ -72,6 +72,19 @@
 			.toList();
 	}
 
+	/**
+	 * Returns the other VMs that are remembered and did not leave, by name: those taken
+	 * for dead may only be cut off, so links to them are worth trying.
+	 * @return a copy
+	 */
+	public List<MemberRecord> remembered() {
+		return this.others.values()
+			.stream()
+			.map((entry) -> entry.member)
+			.filter((member) -> member.status() != MemberStatus.LEFT)
+			.toList();
+	}
+
 	/**
 	 * Returns what is known of another VM.
 	 * @param vm the VM
--- /dev/null
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/peer/Neighbours.java
@@ -0,0 +1,105 @@
+package org.vanillatrestle.daemon.internal.peer;
+
+import java.net.InetSocketAddress;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+
+import io.netty.util.NetUtil;
+import org.vanillatrestle.DataCentreId;
+import org.vanillatrestle.internal.membership.DataCentreSummary;
+import org.vanillatrestle.internal.membership.MemberRecord;
+import org.vanillatrestle.wire.PeerNode;
+
+/**
+ * Decides to which addresses the VM keeps links.
+ * <p>
+ * Not thread safe: used on the event loop. Links are kept to all VMs of the own data
+ * centre, and to some VMs of each other data centre that this VM has a duty or a wish to
+ * talk to. Of two VMs that know each other, the one with the lower name connects; seeds
+ * are connected to by both.
+ */
+final class Neighbours {
+
+	private static final int CONTACTS_PER_DATA_CENTRE = 2;
+
+	private final PeerNode node;
+
+	private final List<Seed> seeds;
+
+	private final Set<DataCentreId> wanted = new HashSet<>();
+
+	private Set<InetSocketAddress> kept = Set.of();
+
+	Neighbours(PeerNode node, List<Seed> seeds) {
+		this.node = node;
+		this.seeds = seeds;
+	}
+
+	void want(DataCentreId dataCentre) {
+		this.wanted.add(dataCentre);
+	}
+
+	/**
+	 * Brings the links in line with what is known.
+	 * @param members the VMs of the own data centre
+	 * @param duties the data centres to talk to
+	 * @param summaries what other data centres say of themselves
+	 */
+	void update(List<MemberRecord> members, List<DataCentreId> duties, List<DataCentreSummary> summaries) {
+		Set<InetSocketAddress> needed = new HashSet<>();
+		addOwn(members, needed);
+		Set<DataCentreId> remote = new HashSet<>(duties);
+		remote.addAll(this.wanted);
+		for (DataCentreId dataCentre : remote) {
+			addRemote(dataCentre, summaries, needed);
+		}
+		this.kept.stream().filter((address) -> !needed.contains(address)).forEach(this.node::disconnect);
+		needed.forEach(this.node::connect);
+		this.kept = needed;
+	}
+
+	private void addOwn(List<MemberRecord> members, Set<InetSocketAddress> needed) {
+		DataCentreId own = this.node.self().dataCentre();
+		this.seeds.stream()
+			.filter((seed) -> seed.dataCentre().equals(own))
+			.forEach((seed) -> needed.add(seed.address()));
+		members.stream()
+			.filter((member) -> this.node.self().vm().compareTo(member.vm()) < 0)
+			.forEach((member) -> address(member.address()).ifPresent(needed::add));
+	}
+
+	private void addRemote(DataCentreId dataCentre, List<DataCentreSummary> summaries, Set<InetSocketAddress> needed) {
+		this.seeds.stream()
+			.filter((seed) -> seed.dataCentre().equals(dataCentre))
+			.limit(CONTACTS_PER_DATA_CENTRE)
+			.forEach((seed) -> needed.add(seed.address()));
+		summaries.stream()
+			.filter((summary) -> summary.dataCentre().equals(dataCentre))
+			.flatMap((summary) -> summary.contacts().stream())
+			.limit(CONTACTS_PER_DATA_CENTRE)
+			.forEach((contact) -> address(contact).ifPresent(needed::add));
+	}
+
+	/**
+	 * Reads an address that a VM said. Host names are refused, because looking them up
+	 * would block.
+	 * @param text the address as {@code host:port}
+	 * @return the address, empty if it is not valid
+	 */
+	static Optional<InetSocketAddress> address(String text) {
+		int colon = text.lastIndexOf(':');
+		if (colon < 1 || !text.substring(colon + 1).matches("[0-9]{1,5}")) {
+			return Optional.empty();
+		}
+		String host = text.substring(0, colon);
+		int port = Integer.parseInt(text.substring(colon + 1));
+		boolean isNumber = NetUtil.isValidIpV4Address(host) || NetUtil.isValidIpV6Address(host);
+		if (!isNumber || port < 1 || port > 65_535) {
+			return Optional.empty();
+		}
+		return Optional.of(new InetSocketAddress(host, port));
+	}
+
+}
--- /dev/null
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/peer/TargetExchange.java
@@ -0,0 +1,177 @@
+package org.vanillatrestle.daemon.internal.peer;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+
+import org.vanillatrestle.TargetId;
+import org.vanillatrestle.internal.target.Announcement;
+import org.vanillatrestle.internal.target.TargetLoad;
+import org.vanillatrestle.internal.target.TargetRegistry;
+import org.vanillatrestle.wire.PeerException;
+import org.vanillatrestle.wire.TargetCodec;
+import org.vanillatrestle.wire.TargetNews;
+
+/**
+ * Passes announcements that this VM got from targets on to the other VMs of its data
+ * centre, and takes theirs.
+ * <p>
+ * Not thread safe: used on the event loop. Invariants: what came from a VM is not passed
+ * on again; news that a target leaves, or is new, goes out at once; a load is passed on
+ * alone only if the rest of the announcement was passed on within the last half minute.
+ */
+final class TargetExchange {
+
+	private static final long FULL_INTERVAL_NANOS = TimeUnit.SECONDS.toNanos(30);
+
+	private static final long REMEMBER_NANOS = TimeUnit.MINUTES.toNanos(5);
+
+	private static final int MAX_TARGETS = 4096;
+
+	private final TargetRegistry registry;
+
+	private final Consumer<byte[]> broadcast;
+
+	private final Map<TargetId, Passed> passed = new HashMap<>();
+
+	private final Map<TargetId, Announcement> pending = new LinkedHashMap<>();
+
+	private final Map<Integer, Known> known = new HashMap<>();
+
+	TargetExchange(TargetRegistry registry, Consumer<byte[]> broadcast) {
+		this.registry = registry;
+		this.broadcast = broadcast;
+	}
+
+	/**
+	 * Takes an announcement that a target made to this VM and that its registry accepted.
+	 * @param announcement the announcement
+	 * @param nowNanos the monotonic time
+	 */
+	void announced(Announcement announcement, long nowNanos) {
+		if (this.passed.size() >= MAX_TARGETS && !this.passed.containsKey(announcement.target())) {
+			return;
+		}
+		this.pending.put(announcement.target(), announcement);
+		Passed before = this.passed.get(announcement.target());
+		if (before == null || before.announcement.leaving() != announcement.leaving()) {
+			flush(nowNanos);
+		}
+	}
+
+	/**
+	 * Sends what came since the last call.
+	 * @param nowNanos the monotonic time
+	 */
+	void flush(long nowNanos) {
+		if (this.pending.isEmpty()) {
+			return;
+		}
+		List<Announcement> full = new ArrayList<>();
+		List<TargetNews.Load> loads = new ArrayList<>();
+		for (Announcement announcement : this.pending.values()) {
+			if (needsFull(announcement, nowNanos)) {
+				full.add(announcement);
+				this.passed.put(announcement.target(), new Passed(announcement, nowNanos));
+			}
+			else {
+				int key = TargetNews.key(announcement.target(), announcement.incarnation());
+				loads.add(new TargetNews.Load(key, announcement.sequence(), announcement.load()));
+			}
+		}
+		this.pending.clear();
+		this.broadcast.accept(TargetCodec.encode(new TargetNews(full, loads)));
+	}
+
+	/**
+	 * Returns all that a VM newly linked needs to know.
+	 * @return the announcements in full that this VM passed on
+	 */
+	byte[] all() {
+		List<Announcement> full = this.passed.values().stream().map((entry) -> entry.announcement).toList();
+		return TargetCodec.encode(new TargetNews(full, List.of()));
+	}
+
+	/**
+	 * Forgets targets that have not been heard of for long.
+	 * @param nowNanos the monotonic time
+	 */
+	void forget(long nowNanos) {
+		this.passed.values().removeIf((entry) -> nowNanos - entry.sentNanos > REMEMBER_NANOS);
+		this.known.values().removeIf((entry) -> nowNanos - entry.heardNanos > REMEMBER_NANOS);
+	}
+
+	/**
+	 * Takes what another VM passed on.
+	 * @param payload its bytes
+	 * @param nowNanos the monotonic time
+	 * @throws PeerException if the bytes can't be read
+	 */
+	void receive(byte[] payload, long nowNanos) throws PeerException {
+		TargetNews news = TargetCodec.decode(payload);
+		for (Announcement announcement : news.full()) {
+			remember(announcement, nowNanos);
+			this.registry.announce(announcement, nowNanos);
+		}
+		for (TargetNews.Load load : news.loads()) {
+			Known entry = this.known.get(load.key());
+			if (entry != null) {
+				entry.heardNanos = nowNanos;
+				this.registry.announce(with(entry.announcement, load.sequence(), load.load()), nowNanos);
+			}
+		}
+	}
+
+	private void remember(Announcement announcement, long nowNanos) {
+		int key = TargetNews.key(announcement.target(), announcement.incarnation());
+		Known before = this.known.get(key);
+		boolean older = before != null && before.announcement.target().equals(announcement.target())
+				&& !announcement.supersedes(before.announcement);
+		if (!older && (before != null || this.known.size() < MAX_TARGETS)) {
+			this.known.put(key, new Known(announcement, nowNanos));
+		}
+	}
+
+	private boolean needsFull(Announcement announcement, long nowNanos) {
+		Passed before = this.passed.get(announcement.target());
+		if (before == null || nowNanos - before.sentNanos >= FULL_INTERVAL_NANOS) {
+			return true;
+		}
+		Announcement sameLoad = with(before.announcement, announcement.sequence(), announcement.load());
+		return !sameLoad.equals(announcement);
+	}
+
+	private static Announcement with(Announcement base, long sequence, TargetLoad load) {
+		return new Announcement(base.target(), base.dataCentre(), base.incarnation(), sequence, base.kind(),
+				base.customer(), base.service(), base.models(), base.address(), base.capacity(), load, base.leaving(),
+				base.resumes());
+	}
+
+	/**
+	 * An announcement passed on in full.
+	 */
+	private record Passed(Announcement announcement, long sentNanos) {
+
+	}
+
+	/**
+	 * An announcement got in full from another VM.
+	 */
+	private static final class Known {
+
+		private final Announcement announcement;
+
+		private long heardNanos;
+
+		Known(Announcement announcement, long heardNanos) {
+			this.announcement = announcement;
+			this.heardNanos = heardNanos;
+		}
+
+	}
+
+}
--- a/vanillatrestle-wire/src/main/java/org/vanillatrestle/wire/PeerNode.java
+++ b/vanillatrestle-wire/src/main/java/org/vanillatrestle/wire/PeerNode.java
@@ -134,7 +134,8 @@
 	}
 
 	/**
-	 * Ends the attempts to connect to an address and closes the link to the VM there.
+	 * Ends the attempts to connect to an address. A link that came of them is closed once
+	 * its streams have ended.
 	 * @param address where the VM listens
 	 */
 	public void disconnect(InetSocketAddress address) {
@@ -144,8 +145,8 @@
 		}
 		dialer.stop();
 		PeerLink link = this.links.get(dialer.peer());
-		if (link != null) {
-			link.close();
+		if (link != null && link.dialer() == dialer) {
+			link.drain();
 		}
 	}
 
