--- /dev/null
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/forward/ForwardReceiver.java
@@ -0,0 +1,116 @@
+package org.vanillatrestle.daemon.internal.forward;
+
+import java.util.HashSet;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.LongSupplier;
+
+import org.vanillatrestle.Caller;
+import org.vanillatrestle.Contract;
+import org.vanillatrestle.RegionId;
+import org.vanillatrestle.daemon.internal.pipeline.ContractLookup;
+import org.vanillatrestle.daemon.internal.pipeline.Exchange;
+import org.vanillatrestle.daemon.internal.pipeline.Pipeline;
+import org.vanillatrestle.daemon.internal.pipeline.TracedSink;
+import org.vanillatrestle.wire.ExchangeListener;
+import org.vanillatrestle.wire.ForwardExchange;
+import org.vanillatrestle.wire.ForwardHandler;
+import org.vanillatrestle.wire.ReceivedRequest;
+
+/**
+ * Takes requests that other VMs forward and serves them in this data centre, after
+ * checking them against this VM's own contracts.
+ * <p>
+ * Used on the VM's event loop.
+ */
+public final class ForwardReceiver implements ForwardHandler {
+
+	private static final int RETRY_MILLIS = 500;
+
+	private final Pipeline pipeline;
+
+	private final ContractLookup contracts;
+
+	private final RegionId region;
+
+	private final LongSupplier clockNanos;
+
+	private final int maxBodyBytes;
+
+	private final Set<Exchange> active = new HashSet<>();
+
+	private boolean shuttingDown;
+
+	/**
+	 * Creates the receiver.
+	 * @param pipeline the filters of forwarded requests
+	 * @param contracts the contracts in force here
+	 * @param region this VM's region
+	 * @param clockNanos the monotonic clock in nanoseconds
+	 * @param maxBodyBytes the longest body
+	 */
+	public ForwardReceiver(Pipeline pipeline, ContractLookup contracts, RegionId region, LongSupplier clockNanos,
+			int maxBodyBytes) {
+		this.pipeline = pipeline;
+		this.contracts = contracts;
+		this.region = region;
+		this.clockNanos = clockNanos;
+		this.maxBodyBytes = maxBodyBytes;
+	}
+
+	@Override
+	public ExchangeListener onRequest(ForwardExchange forward) {
+		ReceivedRequest request = forward.request();
+		if (this.shuttingDown) {
+			return refuse(forward, "SHUTTING_DOWN", "This VM is shutting down.");
+		}
+		if (!this.contracts.isLoaded() || this.contracts.appliedIndex() < request.appliedIndex()) {
+			return refuse(forward, "CONTRACTS_BEHIND", "This VM has not yet caught up with the sender's contracts.");
+		}
+		Optional<Contract> contract = this.contracts.find(request.customer());
+		Optional<Caller> caller = contract.flatMap((found) -> found.caller(request.caller()));
+		if (caller.isEmpty() || !contract.get().allows(this.region)) {
+			return refuse(forward, "REGION_NOT_ALLOWED",
+					"The contract in force here does not allow the request in region " + this.region + ".");
+		}
+		long arrivedNanos = this.clockNanos.getAsLong();
+		return new ReceivedBody(forward, this.maxBodyBytes,
+				(sink, whole) -> run(forward, sink, whole, contract.get(), caller.get(), arrivedNanos));
+	}
+
+	private static ExchangeListener refuse(ForwardExchange forward, String code, String message) {
+		forward.refuse(code, message, RETRY_MILLIS);
+		return new IgnoredExchange();
+	}
+
+	private Exchange run(ForwardExchange forward, ForwardSink sink, byte[] body, Contract contract, Caller caller,
+			long arrivedNanos) {
+		ReceivedRequest request = forward.request();
+		TracedSink traced = new TracedSink(sink, request.requestId(), this.region);
+		Exchange exchange = new Exchange(request.requestId(), ReceivedRequests.toCallerRequest(request, body), traced,
+				arrivedNanos);
+		traced.exchange(exchange);
+		exchange.forwarded(forward::start);
+		exchange.authenticated(contract, caller);
+		this.active.add(exchange);
+		exchange.whenEnded(this.active::remove);
+		this.pipeline.run(exchange);
+		return exchange;
+	}
+
+	/**
+	 * Refuses requests from now on.
+	 */
+	public void startShutdown() {
+		this.shuttingDown = true;
+	}
+
+	/**
+	 * Returns the number of forwarded requests without an answer yet.
+	 * @return the number
+	 */
+	public int activeCount() {
+		return this.active.size();
+	}
+
+}
--- /dev/null
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/forward/ReceivedRequests.java
@@ -0,0 +1,28 @@
+package org.vanillatrestle.daemon.internal.forward;
+
+import io.netty.handler.codec.http.HttpHeaders;
+import org.vanillatrestle.daemon.internal.pipeline.CallerRequest;
+import org.vanillatrestle.daemon.internal.pipeline.HeaderNames;
+import org.vanillatrestle.wire.ReceivedRequest;
+
+/**
+ * Turns forwarded requests into the form in which the pipeline takes them.
+ * <p>
+ * Stateless and thread safe.
+ */
+final class ReceivedRequests {
+
+	private ReceivedRequests() {
+	}
+
+	static CallerRequest toCallerRequest(ReceivedRequest request, byte[] body) {
+		HttpHeaders headers = ForwardHeaders.toHttp(request.headers());
+		headers.set(HeaderNames.DEADLINE_MILLIS, Integer.toString(Math.max(1, request.deadlineRemainingMillis())));
+		String uri = request.path();
+		int question = uri.indexOf('?');
+		String path = (question < 0) ? uri : uri.substring(0, question);
+		String query = (question < 0) ? "" : uri.substring(question + 1);
+		return new CallerRequest(request.method(), path, query, headers, body);
+	}
+
+}
--- /dev/null
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/forward/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Requests that cross between VMs, once at most.
+ */
+package org.vanillatrestle.daemon.internal.forward;
--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/http/HttpAnswerSink.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/http/HttpAnswerSink.java
@@ -13,7 +13,6 @@
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
-import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
@@ -122,9 +121,8 @@
 	}
 
 	@Override
-	public void refuse(Refusal refusal) {
-		HttpHeaders headers = RefusalWriter.headers(refusal);
-		whole(new AnswerHead(refusal.status(), headers), RefusalWriter.body(refusal));
+	public void refuse(Refusal refusal, AnswerHead head) {
+		whole(head, RefusalWriter.body(refusal));
 	}
 
 	@Override
--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/peer/PeerService.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/peer/PeerService.java
@@ -216,6 +216,14 @@
 		this.neighbours.want(dataCentre);
 	}
 
+	/**
+	 * Runs something on the event loop, after what runs now.
+	 * @param action what to run
+	 */
+	public void later(Runnable action) {
+		this.loop.execute(action);
+	}
+
 	/**
 	 * Passes on an announcement that a target made to this VM and its registry accepted.
 	 * @param announcement the announcement
--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/pipeline/AdmissionFilter.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/pipeline/AdmissionFilter.java
@@ -85,8 +85,7 @@
 			case IN_FLIGHT -> Refusals.limitReached("maxInFlight", refused.retryAfterMillis());
 			case OVERLOAD -> Refusals.overloaded("too much work is waiting", refused.retryAfterMillis());
 			case DEADLINE -> Refusals.overloaded("the deadline is too near", refused.retryAfterMillis());
-			case NO_TARGET ->
-				Refusals.noTarget(exchange.call().service().name().value(), refused.retryAfterMillis());
+			case NO_TARGET -> Refusals.noTarget(exchange.call().service().name().value(), refused.retryAfterMillis());
 		};
 	}
 
--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/pipeline/AnswerSink.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/pipeline/AnswerSink.java
@@ -43,8 +43,17 @@
 	/**
 	 * Answers with an error.
 	 * @param refusal what went wrong
+	 * @param head status and headers of the error
 	 */
-	void refuse(Refusal refusal);
+	void refuse(Refusal refusal, AnswerHead head);
+
+	/**
+	 * Answers with an error and its usual headers.
+	 * @param refusal what went wrong
+	 */
+	default void refuse(Refusal refusal) {
+		refuse(refusal, new AnswerHead(refusal.status(), RefusalWriter.headers(refusal)));
+	}
 
 	/**
 	 * Tells whether more parts can be taken without using more memory than the bound.
--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/pipeline/AttemptRun.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/pipeline/AttemptRun.java
@@ -48,6 +48,14 @@
 		return this.resumeOffset;
 	}
 
+	/**
+	 * Returns the tokens that this attempt has handed on.
+	 * @return tokens, as far as known
+	 */
+	int tokens() {
+		return Math.max(0, this.relays.tokens() - Math.max(0, this.resumeOffset));
+	}
+
 	void watchFirstByte(EventLoop eventLoop, long timeoutNanos) {
 		this.firstByteTimer = eventLoop.schedule(this::firstByteMissing, timeoutNanos, TimeUnit.NANOSECONDS);
 	}
--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/pipeline/ClassifyFilter.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/pipeline/ClassifyFilter.java
@@ -32,6 +32,7 @@
 					: classifyPlain(exchange);
 			exchange.classified(call);
 			readOnceKey(exchange);
+			readResumeOffset(exchange);
 		}
 		catch (RefusedException ex) {
 			exchange.refuse(ex.refusal());
@@ -99,6 +100,24 @@
 				"Vanillatrestle-Deadline-Millis must be a whole number above 0, for example 2000."));
 	}
 
+	/**
+	 * Reads from which event a stream is resumed; only other VMs may ask for that.
+	 * @param exchange the request
+	 * @throws RefusedException if the header is not a number
+	 */
+	private void readResumeOffset(Exchange exchange) throws RefusedException {
+		String offset = exchange.request().header(HeaderNames.RESUME_OFFSET);
+		if (!exchange.isForwarded() || offset == null) {
+			return;
+		}
+		try {
+			exchange.initialOffset(Math.max(0, Integer.parseInt(offset)));
+		}
+		catch (NumberFormatException ex) {
+			throw new RefusedException(Refusals.badRequest("OFFSET_INVALID", "The offset must be a whole number."));
+		}
+	}
+
 	private void readOnceKey(Exchange exchange) throws RefusedException {
 		Call call = exchange.call();
 		if (call.repeat() != Repeat.AT_MOST_ONCE) {
--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/pipeline/DispatchFilter.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/pipeline/DispatchFilter.java
@@ -31,8 +31,7 @@
 	 * @param starter starts attempts
 	 * @param clockNanos the monotonic clock in nanoseconds
 	 */
-	public DispatchFilter(EventLoop eventLoop, RequestPolicy policy, AttemptStarter starter,
-			LongSupplier clockNanos) {
+	public DispatchFilter(EventLoop eventLoop, RequestPolicy policy, AttemptStarter starter, LongSupplier clockNanos) {
 		this.eventLoop = eventLoop;
 		this.policy = policy;
 		this.starter = starter;
--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/pipeline/DispatchRun.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/pipeline/DispatchRun.java
@@ -65,8 +65,12 @@
 	private void attempt(String lastFailure) {
 		Placement placement = this.attempts.place();
 		if (placement instanceof Placement.None none) {
-			fail((lastFailure != null) ? Refusals.targetBroke(lastFailure, this.verdict) : Refusals
-				.noTarget(this.exchange.call().service().name().value(), none.retryAfterMillis()));
+			fail((lastFailure != null) ? Refusals.targetBroke(lastFailure, this.verdict)
+					: Refusals.noTarget(this.exchange.call().service().name().value(), none.retryAfterMillis()));
+			return;
+		}
+		if (!this.exchange.mayStart()) {
+			finish();
 			return;
 		}
 		int number = this.exchange.nextAttempt();
@@ -87,14 +91,14 @@
 	void answered(AttemptRun run) {
 		this.current = null;
 		this.verdict = Verdict.RAN;
-		this.attempts.finished(run.attempt(), AttemptOutcome.COMPLETED, this.relays.tokens());
+		this.attempts.finished(run.attempt(), AttemptOutcome.COMPLETED, run.tokens());
 		finish();
 	}
 
 	void failed(AttemptRun run, AttemptOutcome outcome, Verdict attemptVerdict, String detail) {
 		this.current = null;
 		this.relays.reset();
-		this.attempts.finished(run.attempt(), outcome, this.relays.tokens());
+		this.attempts.finished(run.attempt(), outcome, run.tokens());
 		this.verdict = this.verdict.and(attemptVerdict);
 		logger.debugf("Dispatch: attempt %d of request %s failed, %s: %s.", this.exchange.attempts(),
 				this.exchange.id(), attemptVerdict, detail);
@@ -139,7 +143,7 @@
 		this.current = null;
 		this.verdict = this.verdict.and(stopped.cancel());
 		this.relays.reset();
-		this.attempts.finished(stopped.attempt(), outcome, this.relays.tokens());
+		this.attempts.finished(stopped.attempt(), outcome, stopped.tokens());
 	}
 
 	private void writabilityChanged() {
--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/pipeline/EventStreamRelay.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/pipeline/EventStreamRelay.java
@@ -38,6 +38,7 @@
 	EventStreamRelay(Exchange exchange, LongSupplier clockNanos) {
 		this.exchange = exchange;
 		this.clockNanos = clockNanos;
+		this.delivered = exchange.initialOffset();
 	}
 
 	@Override
--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/pipeline/Exchange.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/pipeline/Exchange.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.function.BooleanSupplier;
 
 import io.netty.buffer.ByteBuf;
 import org.vanillatrestle.Caller;
@@ -60,7 +61,9 @@
 
 	private Runnable writabilityListener;
 
-	private boolean forwarded;
+	private BooleanSupplier startGate;
+
+	private int initialOffset;
 
 	private boolean sentAway;
 
@@ -189,11 +192,37 @@
 	 * @return whether the request was forwarded to this VM
 	 */
 	public boolean isForwarded() {
-		return this.forwarded;
+		return this.startGate != null;
+	}
+
+	/**
+	 * Notes that the request came from another VM.
+	 * @param startGate asked once before the first byte goes to a target; says whether
+	 * the request may still run
+	 */
+	public void forwarded(BooleanSupplier startGate) {
+		this.startGate = startGate;
+	}
+
+	/**
+	 * Asks whether the next attempt may begin.
+	 * @return {@code false} if the VM that forwarded the request was told that it never
+	 * will start
+	 */
+	boolean mayStart() {
+		return this.startGate == null || this.startGate.getAsBoolean();
+	}
+
+	/**
+	 * Returns the number of stream events that the answer leaves out from the start.
+	 * @return the number, 0 unless another VM resumes a stream here
+	 */
+	int initialOffset() {
+		return this.initialOffset;
 	}
 
-	public void forwarded(boolean forwarded) {
-		this.forwarded = forwarded;
+	void initialOffset(int offset) {
+		this.initialOffset = offset;
 	}
 
 	public boolean isSentAway() {
--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/pipeline/LocalAttempts.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/pipeline/LocalAttempts.java
@@ -31,7 +31,8 @@
 	 * @param listener hears what comes of it
 	 * @return the attempt
 	 */
-	public AttemptHandle start(Exchange exchange, Placement.Local placement, int number, int resumeOffset, AttemptListener listener) {
+	public AttemptHandle start(Exchange exchange, Placement.Local placement, int number, int resumeOffset,
+			AttemptListener listener) {
 		CallerRequest request = exchange.request();
 		HttpHeaders headers = HopByHopHeaders.copyWithout(request.headers());
 		headers.remove(HttpHeaderNames.AUTHORIZATION);
--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/pipeline/RelaySelector.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/pipeline/RelaySelector.java
@@ -46,11 +46,11 @@
 	}
 
 	int resumeOffset() {
-		return (this.relay != null) ? this.relay.resumeOffset() : 0;
+		return (this.relay != null) ? this.relay.resumeOffset() : this.exchange.initialOffset();
 	}
 
 	int tokens() {
-		return (this.relay != null) ? this.relay.tokens() : 0;
+		return (this.relay != null) ? this.relay.tokens() : this.exchange.initialOffset();
 	}
 
 	void reset() {
--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/pipeline/TracedSink.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/pipeline/TracedSink.java
@@ -74,8 +74,8 @@
 	}
 
 	@Override
-	public void refuse(Refusal refusal) {
-		whole(new AnswerHead(refusal.status(), RefusalWriter.headers(refusal)), RefusalWriter.body(refusal));
+	public void refuse(Refusal refusal, AnswerHead head) {
+		this.sink.refuse(refusal, traced(head));
 	}
 
 	@Override
