Add the files of a replica and the thread that runs it

A replica must find everything it promised after any crash, and must not start from less.

Entries, votes and resets are records of one sequence of segments, so that one sync makes a batch durable. Each record names the start of its batch: a damaged record before a later batch had been synced and is refused, one in the last batch is a torn tail and is cut. A segment is closed before its successor is used, so that every missing file is noticed. ReplicaHost handles what waits together and syncs once.

Commit of an older term by counting, which a trial mutation of the log had shown untested, has its own test.

--- a/vanillatrestle-core/src/test/java/org/vanillatrestle/internal/log/ReplicatedLogTests.java
+++ b/vanillatrestle-core/src/test/java/org/vanillatrestle/internal/log/ReplicatedLogTests.java
@@ -1,10 +1,14 @@
 package org.vanillatrestle.internal.log;
 
 import java.util.List;
+import java.util.Optional;
+import java.util.TreeSet;
 
+import org.apache.commons.rng.simple.RandomSource;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
+import org.vanillatrestle.VmId;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -116,6 +120,31 @@
 		group.checkRecovery(1);
 	}
 
+	@Test
+	void shouldNotCommitOlderTermByCounting() {
+		ReplicaId self = new ReplicaId(new VmId("vm-1"), new StorageId("s0"));
+		ReplicaId second = new ReplicaId(new VmId("vm-2"), new StorageId("s1"));
+		ReplicaId third = new ReplicaId(new VmId("vm-3"), new StorageId("s2"));
+		GroupId id = new GroupId("group");
+		Membership membership = new Membership(id, new TreeSet<>(List.of(self, second, third)), new TreeSet<>());
+		List<LogEntry> entries = List.of(new LogEntry(1, 1, new EntryBody.NoOp()),
+				new LogEntry(2, 2, new EntryBody.NoOp()));
+		RecoveredState recovered = new RecoveredState(new Vote(3, Optional.empty()), Snapshot.initial(membership),
+				entries);
+		ReplicatedLog log = new ReplicatedLog(self, LogSettings.defaults(), recovered,
+				RandomSource.SPLIT_MIX_64.create(1L), 0);
+		log.tick(10_000 * SimulatedGroup.MILLIS);
+		log.receive(new LogEnvelope(id, second, self, new LogMessage.VoteResponse(4, true, true, true)), 0);
+		log.synced(log.takeOutputs().writeNumber(), 0);
+		log.receive(new LogEnvelope(id, second, self, new LogMessage.VoteResponse(4, true, false, true)), 0);
+		log.synced(log.takeOutputs().writeNumber(), 0);
+		log.receive(new LogEnvelope(id, second, self, new LogMessage.AppendResponse(4, true, 2, 0, 0)), 0);
+		assertThat(log.status(0).role()).isEqualTo(Role.LEADER);
+		assertThat(log.status(0).commitIndex()).isZero();
+		log.receive(new LogEnvelope(id, second, self, new LogMessage.AppendResponse(4, true, 3, 0, 0)), 0);
+		assertThat(log.status(0).commitIndex()).isEqualTo(3);
+	}
+
 	@Test
 	void shouldConfirmReadOnlyWithQuorum() {
 		SimulatedGroup group = formed(3);
--- /dev/null
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/replica/ReplicaSettings.java
@@ -0,0 +1,37 @@
+package org.vanillatrestle.daemon.internal.replica;
+
+import java.util.Set;
+
+import org.vanillatrestle.VmId;
+import org.vanillatrestle.internal.log.LogSettings;
+
+/**
+ * Settings of a replica.
+ * <p>
+ * Immutable and thread safe.
+ *
+ * @param log times and sizes of the log
+ * @param wantedVoters the VMs that should hold a voter each
+ * @param batchLimit the most inputs handled between two syncs
+ * @param queueLimit the most inputs that wait
+ */
+public record ReplicaSettings(LogSettings log, Set<VmId> wantedVoters, int batchLimit, int queueLimit) {
+
+	private static final int DEFAULT_BATCH = 1024;
+
+	private static final int DEFAULT_QUEUE = 16_384;
+
+	public ReplicaSettings {
+		wantedVoters = Set.copyOf(wantedVoters);
+	}
+
+	/**
+	 * Default limits.
+	 * @param wantedVoters the VMs that should hold a voter each
+	 * @return settings
+	 */
+	public static ReplicaSettings of(Set<VmId> wantedVoters) {
+		return new ReplicaSettings(LogSettings.defaults(), wantedVoters, DEFAULT_BATCH, DEFAULT_QUEUE);
+	}
+
+}
--- /dev/null
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/storage/SegmentHeader.java
@@ -0,0 +1,30 @@
+package org.vanillatrestle.daemon.internal.storage;
+
+import java.nio.charset.StandardCharsets;
+
+/**
+ * The first record of a segment.
+ *
+ * @param storage the storage id of the folder
+ * @param number the number of the segment
+ * @param snapshotIndex the snapshot that existed when the segment was begun
+ */
+record SegmentHeader(String storage, long number, long snapshotIndex) {
+
+	private static final String SEPARATOR = " ";
+
+	byte[] encode() {
+		String text = String.join(SEPARATOR, this.storage, Long.toString(this.number),
+				Long.toString(this.snapshotIndex));
+		return text.getBytes(StandardCharsets.UTF_8);
+	}
+
+	static SegmentHeader decode(byte[] bytes) throws StorageException {
+		String[] parts = new String(bytes, StandardCharsets.UTF_8).split(SEPARATOR);
+		if (parts.length != 3) {
+			throw new StorageException(StorageException.Reason.DAMAGED, "the header of a segment is damaged");
+		}
+		return new SegmentHeader(parts[0], Long.parseLong(parts[1]), Long.parseLong(parts[2]));
+	}
+
+}
--- /dev/null
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/storage/SnapshotFiles.java
@@ -0,0 +1,112 @@
+package org.vanillatrestle.daemon.internal.storage;
+
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.util.List;
+
+import org.vanillatrestle.internal.log.Snapshot;
+import org.vanillatrestle.wire.LogRecordCodec;
+import org.vanillatrestle.wire.MalformedMessageException;
+
+/**
+ * The snapshot files of a folder. A snapshot has its name only once it is whole and
+ * synced.
+ * <p>
+ * Not thread safe.
+ */
+final class SnapshotFiles {
+
+	private static final String PREFIX = "snapshot-";
+
+	private static final String TEMPORARY = ".tmp";
+
+	private static final int MAGIC = 0x76747331;
+
+	private static final int HEADER_BYTES = 8;
+
+	private final StorageFiles files;
+
+	SnapshotFiles(StorageFiles files) {
+		this.files = files;
+	}
+
+	static String nameOf(long index) {
+		return String.format("%s%016d", PREFIX, index);
+	}
+
+	void write(Snapshot snapshot) throws IOException {
+		String name = nameOf(snapshot.lastIndex());
+		byte[] payload = LogRecordCodec.encode(snapshot);
+		ByteBuffer header = ByteBuffer.allocate(HEADER_BYTES);
+		header.putInt(MAGIC).putInt(RecordFormat.checksum(payload, 0, payload.length)).flip();
+		try (AppendableFile file = this.files.append(name + TEMPORARY)) {
+			file.write(header);
+			file.write(ByteBuffer.wrap(payload));
+			file.sync();
+		}
+		this.files.rename(name + TEMPORARY, name);
+		this.files.syncFolder();
+	}
+
+	List<String> names() throws IOException {
+		return this.files.names()
+			.stream()
+			.filter((name) -> name.startsWith(PREFIX) && !name.endsWith(TEMPORARY))
+			.toList();
+	}
+
+	/**
+	 * Reads the newest snapshot.
+	 * @return the snapshot
+	 * @throws StorageException if there is none or it is damaged
+	 * @throws IOException if it can't be read
+	 */
+	Loaded readNewest() throws IOException {
+		List<String> names = names();
+		if (names.isEmpty()) {
+			throw new StorageException(StorageException.Reason.DAMAGED, "the snapshot is missing");
+		}
+		String name = names.get(names.size() - 1);
+		byte[] bytes = this.files.read(name);
+		boolean whole = bytes.length >= HEADER_BYTES && ByteBuffer.wrap(bytes).getInt() == MAGIC
+				&& ByteBuffer.wrap(bytes).getInt(4) == RecordFormat.checksum(bytes, HEADER_BYTES,
+						bytes.length - HEADER_BYTES);
+		if (!whole) {
+			throw new StorageException(StorageException.Reason.DAMAGED, name + " is damaged");
+		}
+		try {
+			byte[] payload = java.util.Arrays.copyOfRange(bytes, HEADER_BYTES, bytes.length);
+			return new Loaded(LogRecordCodec.decodeSnapshot(payload), bytes.length);
+		}
+		catch (MalformedMessageException ex) {
+			throw new StorageException(StorageException.Reason.DAMAGED, name + " is damaged", ex);
+		}
+	}
+
+	void deleteOlderThan(long index) throws IOException {
+		String newest = nameOf(index);
+		for (String name : names()) {
+			if (name.compareTo(newest) < 0) {
+				this.files.delete(name);
+			}
+		}
+	}
+
+	void deleteTemporary() throws IOException {
+		for (String name : this.files.names()) {
+			if (name.endsWith(TEMPORARY)) {
+				this.files.delete(name);
+			}
+		}
+	}
+
+	/**
+	 * A snapshot that was read.
+	 *
+	 * @param snapshot the snapshot
+	 * @param bytes the size of its file
+	 */
+	record Loaded(Snapshot snapshot, long bytes) {
+	}
+
+}
