Add the operators' service over the contract book

Changes, removals, history, status per region and the audit trail as JSON. A change whose outcome was lost is reported as unknown with status 504, one that was not taken as 503 with the leader's address; neither is called refused.

--- /dev/null
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/operator/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * The operators' interface: contracts, their history and status, and the audit trail.
+ */
+package org.vanillatrestle.daemon.internal.operator;
--- /dev/null
+++ b/vanillatrestle-daemon/src/test/java/org/vanillatrestle/daemon/internal/operator/FakeGateway.java
@@ -0,0 +1,58 @@
+package org.vanillatrestle.daemon.internal.operator;
+
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Function;
+
+import org.vanillatrestle.internal.book.BookLimits;
+import org.vanillatrestle.internal.book.ContractBook;
+import org.vanillatrestle.wire.BookCommandCodec;
+import org.vanillatrestle.wire.MalformedStateException;
+
+/**
+ * A book that applies at once, and can lose its leader or its answers.
+ */
+public final class FakeGateway implements BookGateway {
+
+	private final ContractBook book = new ContractBook(BookLimits.DEFAULT);
+
+	private boolean leaderless;
+
+	private boolean losesAnswers;
+
+	private long index;
+
+	public void setLeaderless(boolean leaderless) {
+		this.leaderless = leaderless;
+	}
+
+	public void setLosesAnswers(boolean losesAnswers) {
+		this.losesAnswers = losesAnswers;
+	}
+
+	@Override
+	public synchronized CompletableFuture<BookProposal> propose(byte[] command) {
+		if (this.leaderless) {
+			return CompletableFuture.completedFuture(new BookProposal.NotTaken(Optional.of("http://127.0.0.9:1")));
+		}
+		byte[] reply = apply(command);
+		return CompletableFuture.completedFuture(
+				this.losesAnswers ? new BookProposal.Unknown("the leader changed") : new BookProposal.Applied(reply));
+	}
+
+	private byte[] apply(byte[] command) {
+		try {
+			return BookCommandCodec.encode(this.book.apply(++this.index, BookCommandCodec.decodeCommand(command)));
+		}
+		catch (MalformedStateException ex) {
+			throw new IllegalStateException(ex);
+		}
+	}
+
+	@Override
+	public synchronized <T> CompletableFuture<BookReading<T>> read(Function<ContractBook, T> reader) {
+		return CompletableFuture.completedFuture(
+				new BookReading<>(reader.apply(this.book), !this.leaderless, this.index, this.leaderless ? 5000 : 0));
+	}
+
+}
