--- a/vanillatrestle-bench/src/test/java/org/vanillatrestle/bench/serving/ServingPathTests.java
+++ b/vanillatrestle-bench/src/test/java/org/vanillatrestle/bench/serving/ServingPathTests.java
@@ -5,17 +5,20 @@
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
+import java.nio.file.Path;
 import java.util.List;
 import java.util.Set;
 
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
 import org.vanillatrestle.CallRule;
 import org.vanillatrestle.Caller;
 import org.vanillatrestle.CallerName;
 import org.vanillatrestle.Contract;
 import org.vanillatrestle.ContractService;
+import org.vanillatrestle.Contracts;
 import org.vanillatrestle.CustomerId;
 import org.vanillatrestle.DataCentreId;
 import org.vanillatrestle.ModelName;
@@ -32,8 +35,10 @@
 import org.vanillatrestle.bench.internal.standin.FaultMode;
 import org.vanillatrestle.bench.internal.standin.StandInTarget;
 import org.vanillatrestle.daemon.Node;
+import org.vanillatrestle.daemon.internal.node.ReplicaFounding;
 import org.vanillatrestle.daemon.internal.pipeline.BearerKeys;
 import org.vanillatrestle.daemon.internal.settings.HostAndPort;
+import org.vanillatrestle.daemon.internal.settings.OperatorSettings;
 import org.vanillatrestle.daemon.internal.settings.Role;
 import org.vanillatrestle.daemon.internal.settings.Settings;
 import org.vanillatrestle.daemon.internal.settings.VmSettings;
@@ -47,6 +52,8 @@
 
 	private static final String KEY = "clerk-key";
 
+	private static final String OPERATOR_KEY = "operator-key";
+
 	private static final int MAX_POLLS = 500;
 
 	private static final long POLL_MILLIS = 10;
@@ -62,11 +69,16 @@
 	private StandInTarget service;
 
 	@BeforeEach
-	void start() throws IOException, InterruptedException {
+	void start(@TempDir Path folder) throws IOException, InterruptedException {
 		VmSettings self = new VmSettings(new VmId("bagmati-1"), new RegionId("bagmati"), new DataCentreId("bagmati-a"),
-				Set.of(Role.ENTRY), new HostAndPort("127.0.0.1", 0), new HostAndPort("127.0.0.1", 0));
-		this.node = Node.start(Settings.builder(self, List.of(self)).build());
-		this.node.contracts().add(contract());
+				Set.of(Role.values()), new HostAndPort("127.0.0.1", 0), new HostAndPort("127.0.0.1", 0));
+		Settings settings = Settings.builder(self, List.of(self))
+			.dataFolder(folder)
+			.operators(List.of(new OperatorSettings("ana", BearerKeys.sha256(OPERATOR_KEY))))
+			.build();
+		ReplicaFounding.found(settings, false);
+		this.node = Node.start(settings);
+		applyContract();
 		List<String> entries = List.of("127.0.0.1:" + this.node.httpPort());
 		this.engine = StandInEngine.start(EngineSettings.fast("e1", "bagmati-a", "sheets", "sheet-1", entries));
 		this.otherEngine = StandInEngine.start(EngineSettings.fast("e2", "bagmati-a", "sheets", "sheet-1", entries));
@@ -82,6 +94,16 @@
 		this.service.close();
 	}
 
+	private void applyContract() throws IOException, InterruptedException {
+		HttpRequest put = HttpRequest.newBuilder(uri("/v1/contracts/himdugdha"))
+			.header("Authorization", "Bearer " + OPERATOR_KEY)
+			.PUT(HttpRequest.BodyPublishers.ofString(Contracts.write(contract())))
+			.build();
+		for (int i = 0; i < MAX_POLLS && send(put).statusCode() >= 300; i++) {
+			Thread.sleep(POLL_MILLIS);
+		}
+	}
+
 	private Contract contract() {
 		return Contract.builder(new CustomerId("himdugdha"), 1)
 			.allowedRegions(Set.of(new RegionId("bagmati")))
@@ -124,6 +146,31 @@
 		assertThat(this.service.runs()).noneMatch((run) -> "POST".equals(run.method()));
 	}
 
+	@Test
+	void shouldRunAPayoutOnceAndGiveItsAnswerToTheResend() throws IOException, InterruptedException {
+		HttpResponse<String> first = send(payout("p-1", "{\"amount\": 5}"));
+		HttpResponse<String> resend = send(payout("p-1", "{\"amount\": 5}"));
+		assertThat(first.statusCode()).isLessThan(300);
+		assertThat(resend.statusCode()).isEqualTo(first.statusCode());
+		assertThat(resend.body()).isEqualTo(first.body());
+		assertThat(resend.headers().firstValue("Vanillatrestle-Replayed")).contains("true");
+		assertThat(this.service.runs()).filteredOn((run) -> "p-1".equals(run.key())).hasSize(1);
+	}
+
+	@Test
+	void shouldRefuseAKeyThatWasUsedForAnotherBody() throws IOException, InterruptedException {
+		send(payout("p-2", "{\"amount\": 5}"));
+		HttpResponse<String> other = send(payout("p-2", "{\"amount\": 6}"));
+		assertThat(other.statusCode()).isEqualTo(409);
+		assertThat(this.service.runs()).filteredOn((run) -> "p-2".equals(run.key())).hasSize(1);
+	}
+
+	private HttpRequest payout(String key, String body) {
+		return request("/ledger/payouts").header("Idempotency-Key", key)
+			.POST(HttpRequest.BodyPublishers.ofString(body))
+			.build();
+	}
+
 	@Test
 	void shouldRefuseAnUnknownCaller() throws IOException, InterruptedException {
 		HttpResponse<String> answer = send(
--- a/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/membership/CapacityRow.java
+++ b/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/membership/CapacityRow.java
@@ -24,7 +24,15 @@
 	 * @return the key
 	 */
 	public static int key(ServiceName service, ModelName model) {
-		String name = service.value() + '/' + ((model != null) ? model.value() : "");
+		return key(service.value() + '/' + ((model != null) ? model.value() : ""));
+	}
+
+	/**
+	 * Returns the key of a name that both sides build in the same way.
+	 * @param name the name
+	 * @return the key
+	 */
+	public static int key(String name) {
 		return (int) Rendezvous.mix(Rendezvous.hash(name));
 	}
 
--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/Node.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/Node.java
@@ -1,35 +1,17 @@
 package org.vanillatrestle.daemon;
 
 import java.io.IOException;
-import java.util.List;
 import java.util.concurrent.TimeUnit;
 
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
 import io.netty.util.concurrent.DefaultThreadFactory;
-import org.apache.commons.rng.UniformRandomProvider;
-import org.apache.commons.rng.simple.RandomSource;
 import org.jboss.logging.Logger;
-import org.vanillatrestle.daemon.internal.contracts.ContractFiles;
-import org.vanillatrestle.daemon.internal.contracts.FolderContracts;
-import org.vanillatrestle.daemon.internal.http.HttpFront;
-import org.vanillatrestle.daemon.internal.http.HttpRoutes;
 import org.vanillatrestle.daemon.internal.lifecycle.Closer;
-import org.vanillatrestle.daemon.internal.pipeline.AuthenticateFilter;
-import org.vanillatrestle.daemon.internal.pipeline.ClassifyFilter;
-import org.vanillatrestle.daemon.internal.pipeline.DispatchFilter;
-import org.vanillatrestle.daemon.internal.pipeline.LocalAttempts;
-import org.vanillatrestle.daemon.internal.pipeline.Pipeline;
-import org.vanillatrestle.daemon.internal.pipeline.RandomRouter;
-import org.vanillatrestle.daemon.internal.pipeline.RegionFilter;
-import org.vanillatrestle.daemon.internal.pipeline.Route;
-import org.vanillatrestle.daemon.internal.routes.HealthRoute;
-import org.vanillatrestle.daemon.internal.routes.PipelineRoute;
-import org.vanillatrestle.daemon.internal.routes.TargetsRoute;
+import org.vanillatrestle.daemon.internal.node.NodeParts;
 import org.vanillatrestle.daemon.internal.settings.Settings;
-import org.vanillatrestle.daemon.internal.target.TargetClient;
-import org.vanillatrestle.internal.target.TargetRegistry;
+import org.vanillatrestle.daemon.internal.settings.VmSettings;
 
 /**
  * One VM's daemon, started inside this process.
@@ -54,15 +36,7 @@
 
 	private final Closer closer = new Closer();
 
-	private final EventLoop eventLoop;
-
-	private final FolderContracts contracts = new FolderContracts();
-
-	private PipelineRoute pipelineRoute;
-
-	private DispatchFilter dispatch;
-
-	private HttpFront front;
+	private final NodeParts parts;
 
 	private int httpPort;
 
@@ -73,7 +47,8 @@
 		MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1,
 				new DefaultThreadFactory("vanillatrestle-" + settings.self().vm()), NioIoHandler.newFactory());
 		this.closer.add(() -> group.shutdownGracefully(0, 1, TimeUnit.SECONDS).awaitUninterruptibly());
-		this.eventLoop = group.next();
+		EventLoop eventLoop = group.next();
+		this.parts = new NodeParts(settings, eventLoop, this.closer);
 	}
 
 	/**
@@ -85,41 +60,18 @@
 	public static Node start(Settings settings) throws IOException {
 		Node node = new Node(settings);
 		try {
-			node.startParts();
+			node.httpPort = node.parts.start();
 		}
 		catch (IOException | RuntimeException ex) {
 			node.closer.close();
 			throw ex;
 		}
+		VmSettings self = settings.self();
+		logger.infof("Daemon: VM %s of data centre %s in region %s serves HTTP at %s:%d, roles %s.", self.vm(),
+				self.dataCentre(), self.region(), self.http().host(), node.httpPort, self.roles());
 		return node;
 	}
 
-	private void startParts() throws IOException {
-		if (this.settings.contractsFolder().isPresent()) {
-			ContractFiles.readAll(this.settings.contractsFolder().get()).forEach(this.contracts::add);
-		}
-		UniformRandomProvider random = RandomSource.XO_RO_SHI_RO_128_PP.create();
-		TargetRegistry registry = new TargetRegistry(this.settings.self().dataCentre(),
-				TimeUnit.MILLISECONDS.toNanos(this.settings.targetTtlMillis()));
-		TargetClient client = this.closer.add(new TargetClient(this.eventLoop));
-		LocalAttempts local = new LocalAttempts(client);
-		this.dispatch = new DispatchFilter(this.eventLoop, new RandomRouter(registry, random), (exchange, route, number,
-				offset, listener) -> local.start(exchange, (Route.Local) route, number, offset, listener));
-		Pipeline pipeline = new Pipeline(List.of(new AuthenticateFilter(this.contracts), new ClassifyFilter(),
-				new RegionFilter(this.settings.self().region(), (contract, caller) -> List.of()), this.dispatch));
-		this.pipelineRoute = new PipelineRoute(pipeline, this.settings.self().region(), random, System::nanoTime);
-		HttpRoutes routes = new HttpRoutes(List.of(new HealthRoute(() -> !this.closed),
-				new TargetsRoute((announcement) -> registry.announce(announcement, System.nanoTime()), () -> List.of(),
-						this.settings.targetTtlMillis(), this.settings.targetSecretSha256().orElse(null)),
-				this.pipelineRoute));
-		this.front = new HttpFront(this.eventLoop, this.settings.httpLimits(), routes);
-		this.closer.add(this.front);
-		this.httpPort = this.front.listen(this.settings.self().http());
-		logger.infof("Daemon: VM %s of data centre %s in region %s serves HTTP at %s:%d.", this.settings.self().vm(),
-				this.settings.self().dataCentre(), this.settings.self().region(), this.settings.self().http().host(),
-				this.httpPort);
-	}
-
 	/**
 	 * Returns the port at which HTTP is served.
 	 * @return the TCP port
@@ -129,11 +81,11 @@
 	}
 
 	/**
-	 * Returns the contracts in force on this VM.
-	 * @return the contracts
+	 * Returns the parts of this daemon.
+	 * @return the parts
 	 */
-	public FolderContracts contracts() {
-		return this.contracts;
+	NodeParts parts() {
+		return this.parts;
 	}
 
 	@Override
@@ -142,8 +94,7 @@
 			return;
 		}
 		this.closed = true;
-		this.eventLoop.submit(this.pipelineRoute::startShutdown).awaitUninterruptibly();
-		this.front.startShutdown();
+		this.parts.startShutdown();
 		awaitIdle();
 		this.closer.close();
 		logger.infof("Daemon: VM %s has stopped.", this.settings.self().vm());
@@ -152,7 +103,7 @@
 	private void awaitIdle() {
 		long graceNanos = TimeUnit.MILLISECONDS.toNanos(this.settings.shutdownGraceMillis());
 		long startNanos = System.nanoTime();
-		while (busyCount() > 0 && System.nanoTime() - startNanos < graceNanos) {
+		while (this.parts.busyCount() > 0 && System.nanoTime() - startNanos < graceNanos) {
 			try {
 				Thread.sleep(POLL_MILLIS);
 			}
@@ -163,10 +114,4 @@
 		}
 	}
 
-	private int busyCount() {
-		return this.eventLoop.submit(() -> this.pipelineRoute.activeCount() + this.dispatch.runningCount())
-			.awaitUninterruptibly()
-			.getNow();
-	}
-
 }
--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/Vanillatrestle.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/Vanillatrestle.java
@@ -6,6 +6,7 @@
 
 import org.vanillatrestle.daemon.internal.cli.Command;
 import org.vanillatrestle.daemon.internal.cli.ExitCode;
+import org.vanillatrestle.daemon.internal.cli.ReplicaFoundCommand;
 import org.vanillatrestle.daemon.internal.cli.RunCommand;
 import org.vanillatrestle.daemon.internal.cli.SettingsCheckCommand;
 import org.vanillatrestle.daemon.internal.logging.LoggingSetup;
@@ -29,7 +30,8 @@
 	 */
 	public static final String VERSION = "0.1.0";
 
-	private static final List<Command> COMMANDS = List.of(new RunCommand(), new SettingsCheckCommand());
+	private static final List<Command> COMMANDS = List.of(new RunCommand(), new SettingsCheckCommand(),
+			new ReplicaFoundCommand());
 
 	private Vanillatrestle() {
 	}
--- /dev/null
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/ledger/ClaimFilter.java
@@ -0,0 +1,87 @@
+package org.vanillatrestle.daemon.internal.ledger;
+
+import java.nio.charset.StandardCharsets;
+import java.util.Optional;
+import java.util.function.LongSupplier;
+
+import io.netty.channel.EventLoop;
+import org.apache.commons.rng.UniformRandomProvider;
+import org.vanillatrestle.DataCentreId;
+import org.vanillatrestle.OnceKey;
+import org.vanillatrestle.VmId;
+import org.vanillatrestle.daemon.internal.pipeline.BearerKeys;
+import org.vanillatrestle.daemon.internal.pipeline.CallerRequest;
+import org.vanillatrestle.daemon.internal.pipeline.Exchange;
+import org.vanillatrestle.daemon.internal.pipeline.Filter;
+import org.vanillatrestle.daemon.internal.pipeline.Refusals;
+import org.vanillatrestle.internal.once.AttemptId;
+import org.vanillatrestle.internal.once.BodyDigest;
+import org.vanillatrestle.internal.once.LedgerCommand;
+
+/**
+ * Claims calls that may run at most once in the caller's home ledger, before anything is
+ * sent to a target.
+ * <p>
+ * Used on the VM's event loop.
+ */
+public final class ClaimFilter implements Filter {
+
+	private static final long RETRY_MILLIS = 1_000;
+
+	private final EventLoop eventLoop;
+
+	private final OnceClient client;
+
+	private final VmId self;
+
+	private final long incarnation;
+
+	private final UniformRandomProvider random;
+
+	private final LongSupplier clockNanos;
+
+	/**
+	 * Creates the filter.
+	 * @param eventLoop the VM's event loop
+	 * @param client the way to the ledgers
+	 * @param self this VM
+	 * @param incarnation this VM's incarnation
+	 * @param random the source of attempts' ids
+	 * @param clockNanos the monotonic clock in nanoseconds
+	 */
+	public ClaimFilter(EventLoop eventLoop, OnceClient client, VmId self, long incarnation,
+			UniformRandomProvider random, LongSupplier clockNanos) {
+		this.eventLoop = eventLoop;
+		this.client = client;
+		this.self = self;
+		this.incarnation = incarnation;
+		this.random = random;
+		this.clockNanos = clockNanos;
+	}
+
+	@Override
+	public void apply(Exchange exchange, Continuation next) {
+		if (exchange.onceKey().isEmpty()) {
+			next.proceed();
+			return;
+		}
+		OnceKey key = exchange.onceKey().get();
+		Optional<DataCentreId> home = this.client.home(exchange.caller(), key);
+		if (home.isEmpty()) {
+			exchange.refuse(Refusals.ledgerUnreachable(exchange.caller().home(), RETRY_MILLIS));
+			return;
+		}
+		AttemptId attempt = new AttemptId(this.random.nextLong(), this.random.nextLong());
+		LedgerCommand.Claim command = new LedgerCommand.Claim(key, digest(exchange.request()), attempt, this.self,
+				this.incarnation);
+		Settlement settlement = new Settlement(this.eventLoop, this.client, home.get(), key, attempt);
+		new ClaimRun(exchange, next, this.eventLoop, this.client, home.get(), command, settlement, this.clockNanos)
+			.start();
+	}
+
+	private static BodyDigest digest(CallerRequest request) {
+		String head = request.method() + " " + request.path() + "?" + request.query() + "\n";
+		return BodyDigest.of(BearerKeys.sha256(head.getBytes(StandardCharsets.UTF_8), request.body()));
+	}
+
+}
--- /dev/null
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/ledger/ClaimRefusals.java
@@ -0,0 +1,41 @@
+package org.vanillatrestle.daemon.internal.ledger;
+
+import org.vanillatrestle.daemon.internal.pipeline.Refusal;
+import org.vanillatrestle.daemon.internal.pipeline.Refusals;
+import org.vanillatrestle.internal.once.LedgerOutcome;
+
+/**
+ * Turns what the ledger said of a claim into an error answer.
+ * <p>
+ * Stateless and thread safe.
+ */
+final class ClaimRefusals {
+
+	private ClaimRefusals() {
+	}
+
+	static Refusal of(LedgerOutcome outcome, long retryAfterMillis) {
+		if (outcome instanceof LedgerOutcome.DifferentBody) {
+			return Refusals.keyReused();
+		}
+		if (outcome instanceof LedgerOutcome.AnsweredWithoutCopy) {
+			return Refusals.answerNotStored();
+		}
+		if (outcome instanceof LedgerOutcome.MayHaveRun mayHaveRun) {
+			return Refusals.keyUndecided(describe(mayHaveRun.reason()));
+		}
+		if (outcome instanceof LedgerOutcome.NotGranted notGranted) {
+			return Refusals.claimNotGranted(notGranted.reason().name(), retryAfterMillis);
+		}
+		return Refusals.internalError();
+	}
+
+	private static String describe(LedgerOutcome.Reason reason) {
+		return switch (reason) {
+			case RETIRED_GENERATION -> "the key is older than the ledger remembers";
+			case QUARANTINE -> "the ledger was created anew and may have forgotten this key";
+			case ENDED_WITHOUT_ANSWER -> "the attempt ended without an answer";
+		};
+	}
+
+}
--- /dev/null
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/ledger/LedgerPart.java
@@ -0,0 +1,151 @@
+package org.vanillatrestle.daemon.internal.ledger;
+
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import java.util.stream.Collectors;
+
+import io.netty.channel.EventLoop;
+import io.netty.util.concurrent.Future;
+import org.vanillatrestle.VmId;
+import org.vanillatrestle.daemon.internal.replica.ReplicaHost;
+import org.vanillatrestle.daemon.internal.replica.ReplicaSettings;
+import org.vanillatrestle.daemon.internal.replica.ReplicaTransport;
+import org.vanillatrestle.daemon.internal.settings.Settings;
+import org.vanillatrestle.daemon.internal.settings.VmSettings;
+import org.vanillatrestle.daemon.internal.storage.FolderFiles;
+import org.vanillatrestle.daemon.internal.storage.LogStorage;
+import org.vanillatrestle.daemon.internal.storage.OpenMode;
+import org.vanillatrestle.internal.log.Role;
+import org.vanillatrestle.internal.once.LedgerCommand;
+import org.vanillatrestle.wire.LedgerCommandCodec;
+
+/**
+ * What a VM with the role LEDGER runs: a replica of its data centre's once ledger.
+ * <p>
+ * The leader opens a new ledger, tells it how time goes by, and gives up the attempts of
+ * VMs that ended. Thread safe.
+ */
+public final class LedgerPart implements AutoCloseable {
+
+	/**
+	 * The folder of the once ledger within the data folder.
+	 */
+	public static final String FOLDER = "ledger";
+
+	private static final long TICK_MILLIS = 10_000;
+
+	private static final long OPEN_RETRY_MILLIS = 200;
+
+	private static final long NANOS_PER_MILLI = 1_000_000;
+
+	private final ReplicaHost replica;
+
+	private final LedgerMachine machine;
+
+	private final Optional<LedgerCommand.Open> opening;
+
+	private Future<?> openTimer;
+
+	private Future<?> tickTimer;
+
+	private long lastTickNanos = -1;
+
+	/**
+	 * Opens the replica's folder; the replica runs after {@link #start}.
+	 * @param settings the daemon's settings
+	 * @param transport carries messages to other replicas
+	 * @throws IOException if the folder can't be used
+	 */
+	public LedgerPart(Settings settings, ReplicaTransport transport) throws IOException {
+		Path dataFolder = settings.dataFolder().orElseThrow();
+		this.opening = LedgerOpening.read(dataFolder);
+		LogStorage storage = LogStorage.open(new FolderFiles(dataFolder.resolve(FOLDER)), settings.self().vm(),
+				OpenMode.JOIN_IF_EMPTY);
+		this.machine = new LedgerMachine(settings.self().dataCentre());
+		Set<VmId> voters = settings.ledgersOf(settings.self().dataCentre())
+			.stream()
+			.map(VmSettings::vm)
+			.collect(Collectors.toUnmodifiableSet());
+		this.replica = new ReplicaHost("Ledger", storage, this.machine, transport, ReplicaSettings.of(voters));
+	}
+
+	/**
+	 * Starts the replica and its timers.
+	 * @param eventLoop runs the timers
+	 */
+	public void start(EventLoop eventLoop) {
+		this.replica.start();
+		this.openTimer = eventLoop.scheduleAtFixedRate(this::openIfNew, 0, OPEN_RETRY_MILLIS, TimeUnit.MILLISECONDS);
+		this.tickTimer = eventLoop.scheduleAtFixedRate(this::tick, TICK_MILLIS, TICK_MILLIS, TimeUnit.MILLISECONDS);
+	}
+
+	private void openIfNew() {
+		if (this.machine.issuedPrefix() != null || this.opening.isEmpty()) {
+			this.openTimer.cancel(false);
+			return;
+		}
+		if (isLeader()) {
+			propose(this.opening.get());
+		}
+	}
+
+	private void tick() {
+		long nowNanos = System.nanoTime();
+		if (!isLeader()) {
+			this.lastTickNanos = -1;
+			return;
+		}
+		if (this.lastTickNanos >= 0) {
+			propose(new LedgerCommand.Tick((nowNanos - this.lastTickNanos) / NANOS_PER_MILLI));
+		}
+		this.lastTickNanos = nowNanos;
+	}
+
+	/**
+	 * Gives up the attempts of a VM that ended or started anew.
+	 * @param vm the VM
+	 * @param belowIncarnation the incarnation below which attempts are given up
+	 */
+	public void holderEnded(VmId vm, long belowIncarnation) {
+		if (isLeader()) {
+			propose(new LedgerCommand.AbandonHolder(vm, belowIncarnation));
+		}
+	}
+
+	private void propose(LedgerCommand command) {
+		this.replica.propose(LedgerCommandCodec.encode(command));
+	}
+
+	private boolean isLeader() {
+		return this.replica.status().role() == Role.LEADER;
+	}
+
+	public ReplicaHost replica() {
+		return this.replica;
+	}
+
+	LedgerMachine machine() {
+		return this.machine;
+	}
+
+	/**
+	 * Returns the prefix of keys now issued.
+	 * @return the prefix, or empty while the ledger is not open
+	 */
+	public Optional<String> issuedPrefix() {
+		return Optional.ofNullable(this.machine.issuedPrefix());
+	}
+
+	@Override
+	public void close() {
+		if (this.openTimer != null) {
+			this.openTimer.cancel(false);
+			this.tickTimer.cancel(false);
+		}
+		this.replica.close();
+	}
+
+}
--- /dev/null
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/metrics/RequestMetrics.java
@@ -0,0 +1,99 @@
+package org.vanillatrestle.daemon.internal.metrics;
+
+import java.time.Duration;
+import java.util.concurrent.TimeUnit;
+import java.util.function.IntSupplier;
+import java.util.function.LongSupplier;
+
+import io.micrometer.core.instrument.Counter;
+import io.micrometer.core.instrument.Gauge;
+import io.micrometer.core.instrument.Timer;
+import io.micrometer.prometheusmetrics.PrometheusConfig;
+import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
+import org.vanillatrestle.daemon.internal.pipeline.Exchange;
+import org.vanillatrestle.daemon.internal.pipeline.ExchangeListener;
+
+/**
+ * Counts and times requests.
+ * <p>
+ * Recorded on the VM's event loop; may be read by any thread.
+ */
+public final class RequestMetrics implements ExchangeListener {
+
+	private static final String UNKNOWN = "unknown";
+
+	private static final Duration[] BUCKETS = { Duration.ofMillis(5), Duration.ofMillis(20), Duration.ofMillis(50),
+			Duration.ofMillis(100), Duration.ofMillis(250), Duration.ofMillis(530), Duration.ofSeconds(1),
+			Duration.ofSeconds(5), Duration.ofSeconds(30) };
+
+	private final PrometheusMeterRegistry registry = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
+
+	private final LongSupplier clockNanos;
+
+	public RequestMetrics(LongSupplier clockNanos) {
+		this.clockNanos = clockNanos;
+	}
+
+	@Override
+	public void ended(Exchange exchange) {
+		String customer = (exchange.contract() != null) ? exchange.contract().customer().value() : UNKNOWN;
+		String service = (exchange.call() != null) ? exchange.call().service().name().value() : UNKNOWN;
+		Counter.builder("vanillatrestle.requests")
+			.tags("customer", customer, "service", service, "verdict", exchange.verdict().name(), "status",
+					Integer.toString(exchange.status()))
+			.register(this.registry)
+			.increment();
+		if (exchange.attempts() > 1) {
+			counter("vanillatrestle.retries", customer, service).increment(exchange.attempts() - 1);
+		}
+		if (exchange.isSentAway()) {
+			counter("vanillatrestle.sent.away", customer, service).increment();
+		}
+		if (exchange.firstByteNanos() >= 0) {
+			timer("vanillatrestle.first.byte", customer, service)
+				.record(exchange.firstByteNanos() - exchange.arrivedNanos(), TimeUnit.NANOSECONDS);
+			timer("vanillatrestle.total", customer, service)
+				.record(this.clockNanos.getAsLong() - exchange.arrivedNanos(), TimeUnit.NANOSECONDS);
+		}
+	}
+
+	private Counter counter(String name, String customer, String service) {
+		return Counter.builder(name).tags("customer", customer, "service", service).register(this.registry);
+	}
+
+	private Timer timer(String name, String customer, String service) {
+		return Timer.builder(name)
+			.tags("customer", customer, "service", service)
+			.serviceLevelObjectives(BUCKETS)
+			.register(this.registry);
+	}
+
+	/**
+	 * Adds a value that is read whenever metrics are asked for.
+	 * @param name the metric's name
+	 * @param value gives the value
+	 */
+	public void gauge(String name, IntSupplier value) {
+		Gauge.builder(name, value::getAsInt).register(this.registry);
+	}
+
+	/**
+	 * Adds the cost of a customer, in millionths of the currency.
+	 * @param customer the customer
+	 * @param micros gives the cost so far
+	 */
+	public void cost(String customer, LongSupplier micros) {
+		Gauge.builder("vanillatrestle.cost.micros", micros::getAsLong)
+			.tags("customer", customer)
+			.register(this.registry);
+	}
+
+	/**
+	 * Writes all metrics in Prometheus' text form.
+	 * @return the text
+	 */
+	public String scrape() {
+		return this.registry.scrape();
+	}
+
+}
--- /dev/null
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/node/DirectoryView.java
@@ -0,0 +1,50 @@
+package org.vanillatrestle.daemon.internal.node;
+
+import java.util.function.BooleanSupplier;
+import java.util.function.Predicate;
+import java.util.function.Supplier;
+
+import org.vanillatrestle.daemon.internal.peer.PeerService;
+import org.vanillatrestle.daemon.internal.settings.Settings;
+import org.vanillatrestle.daemon.internal.settings.VmSettings;
+import org.vanillatrestle.internal.membership.MemberRecord;
+import org.vanillatrestle.internal.membership.MemberStatus;
+import org.vanillatrestle.internal.membership.RegionReach;
+
+/**
+ * What this VM believes of the entry VMs that settings name.
+ * <p>
+ * Used on the VM's event loop.
+ */
+final class DirectoryView implements Predicate<VmSettings> {
+
+	private final Settings settings;
+
+	private final Supplier<PeerService> peers;
+
+	private final BooleanSupplier shuttingDown;
+
+	DirectoryView(Settings settings, Supplier<PeerService> peers, BooleanSupplier shuttingDown) {
+		this.settings = settings;
+		this.peers = peers;
+		this.shuttingDown = shuttingDown;
+	}
+
+	@Override
+	public boolean test(VmSettings vm) {
+		if (vm.vm().equals(this.settings.self().vm())) {
+			return !this.shuttingDown.getAsBoolean();
+		}
+		if (vm.dataCentre().equals(this.settings.self().dataCentre())) {
+			MemberRecord member = this.peers.get().membership().member(vm.vm());
+			return member != null && member.status() == MemberStatus.ALIVE;
+		}
+		for (RegionReach reach : this.peers.get().summaries().regions()) {
+			if (reach.region().equals(vm.region())) {
+				return reach.reachable();
+			}
+		}
+		return true;
+	}
+
+}
--- /dev/null
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/node/KeyPrefixes.java
@@ -0,0 +1,48 @@
+package org.vanillatrestle.daemon.internal.node;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.Function;
+
+import org.vanillatrestle.Caller;
+import org.vanillatrestle.DataCentreId;
+import org.vanillatrestle.daemon.internal.ledger.OnceClient;
+import org.vanillatrestle.daemon.internal.settings.Settings;
+
+/**
+ * The prefixes of once keys as last heard from the ledgers; asked for again at each use,
+ * so that the next caller learns a new generation.
+ * <p>
+ * Used on the VM's event loop.
+ */
+final class KeyPrefixes implements Function<Caller, Optional<String>> {
+
+	private final Settings settings;
+
+	private final OnceClient client;
+
+	private final Map<DataCentreId, String> prefixes = new HashMap<>();
+
+	KeyPrefixes(Settings settings, OnceClient client) {
+		this.settings = settings;
+		this.client = client;
+	}
+
+	@Override
+	public Optional<String> apply(Caller caller) {
+		List<DataCentreId> homes = this.settings.ledgerDataCentres(caller.home());
+		if (homes.isEmpty()) {
+			return Optional.empty();
+		}
+		DataCentreId home = homes.get(Math.floorMod(caller.name().hashCode(), homes.size()));
+		this.client.prefix(home).thenAccept((prefix) -> {
+			if (!prefix.isEmpty()) {
+				this.prefixes.put(home, prefix);
+			}
+		});
+		return Optional.ofNullable(this.prefixes.get(home));
+	}
+
+}
--- /dev/null
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/node/NodeParts.java
@@ -0,0 +1,311 @@
+package org.vanillatrestle.daemon.internal.node;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.netty.channel.EventLoop;
+import org.apache.commons.rng.simple.RandomSource;
+import org.jboss.logging.Logger;
+import org.vanillatrestle.daemon.internal.contracts.BookContracts;
+import org.vanillatrestle.daemon.internal.control.ControlPart;
+import org.vanillatrestle.daemon.internal.directory.EntryDirectory;
+import org.vanillatrestle.daemon.internal.http.HttpFront;
+import org.vanillatrestle.daemon.internal.http.HttpRoute;
+import org.vanillatrestle.daemon.internal.http.HttpRoutes;
+import org.vanillatrestle.daemon.internal.ledger.LedgerPart;
+import org.vanillatrestle.daemon.internal.ledger.OnceService;
+import org.vanillatrestle.daemon.internal.lifecycle.Closer;
+import org.vanillatrestle.daemon.internal.operator.OperatorKeys;
+import org.vanillatrestle.daemon.internal.operator.OperatorRoute;
+import org.vanillatrestle.daemon.internal.operator.OperatorService;
+import org.vanillatrestle.daemon.internal.peer.PeerEvents;
+import org.vanillatrestle.daemon.internal.peer.PeerService;
+import org.vanillatrestle.daemon.internal.peer.PeerServiceSettings;
+import org.vanillatrestle.daemon.internal.peer.Seed;
+import org.vanillatrestle.daemon.internal.routes.EntryRoute;
+import org.vanillatrestle.daemon.internal.routes.HealthRoute;
+import org.vanillatrestle.daemon.internal.routes.MetricsRoute;
+import org.vanillatrestle.daemon.internal.routes.NotControlRoute;
+import org.vanillatrestle.daemon.internal.routes.OnceRoute;
+import org.vanillatrestle.daemon.internal.routes.StatusRoute;
+import org.vanillatrestle.daemon.internal.routes.TargetsRoute;
+import org.vanillatrestle.daemon.internal.settings.Role;
+import org.vanillatrestle.daemon.internal.settings.Settings;
+import org.vanillatrestle.daemon.internal.settings.VmSettings;
+import org.vanillatrestle.internal.membership.MembershipEvent;
+import org.vanillatrestle.internal.membership.MembershipSettings;
+import org.vanillatrestle.internal.membership.RegionReach;
+import org.vanillatrestle.internal.membership.SummarySettings;
+import org.vanillatrestle.internal.target.Announcement;
+import org.vanillatrestle.internal.target.AnnouncementOutcome;
+import org.vanillatrestle.wire.PeerChannel;
+import org.vanillatrestle.wire.PeerIdentity;
+import org.vanillatrestle.wire.PeerSettings;
+import org.vanillatrestle.wire.TlsSettings;
+
+/**
+ * All parts of a running daemon, wired together by its settings.
+ * <p>
+ * Built and started by one thread; everything that serves runs on the VM's event loop.
+ */
+public final class NodeParts {
+
+	private static final Logger logger = Logger.getLogger(NodeParts.class);
+
+	private static final long BOARD_PERIOD_MILLIS = 500;
+
+	private final Settings settings;
+
+	private final EventLoop loop;
+
+	private final Closer closer;
+
+	private final long incarnation = System.currentTimeMillis();
+
+	private final BookContracts contracts = new BookContracts();
+
+	private final ServingPart serving;
+
+	private final ReplicaLinks replicaLinks;
+
+	private final RegionStatusBoard board;
+
+	private final DirectoryView directoryView;
+
+	private Optional<ControlPart> control = Optional.empty();
+
+	private Optional<LedgerPart> ledger = Optional.empty();
+
+	private PeerService peers;
+
+	private HttpFront front;
+
+	private volatile boolean shuttingDown;
+
+	/**
+	 * Creates the parts that need no disk and no socket.
+	 * @param settings the daemon's settings
+	 * @param loop the VM's event loop
+	 * @param closer closes what is opened here
+	 */
+	public NodeParts(Settings settings, EventLoop loop, Closer closer) {
+		this.settings = settings;
+		this.loop = loop;
+		this.closer = closer;
+		this.serving = new ServingPart(settings, loop, this.contracts, this.incarnation);
+		this.replicaLinks = new ReplicaLinks(loop);
+		this.board = new RegionStatusBoard(settings.self().region(), settings.self().dataCentre());
+		this.directoryView = new DirectoryView(settings, () -> this.peers, () -> this.shuttingDown);
+	}
+
+	/**
+	 * Opens the data folder and the sockets.
+	 * @return the port of HTTP
+	 * @throws IOException if a folder or an address can't be used
+	 */
+	public int start() throws IOException {
+		openReplicas();
+		EntryDirectory directory = new EntryDirectory(this.settings, this.directoryView);
+		OnceService once = new OnceService(this.settings, this.ledger, () -> this.peers);
+		this.peers = newPeerService();
+		this.serving.build(this.peers, once, directory, this.incarnation, this.closer);
+		startPeers(once);
+		startReplicas();
+		return startHttp(directory);
+	}
+
+	private void openReplicas() throws IOException {
+		if (this.settings.self().has(Role.CONTROL)) {
+			ControlPart part = this.closer
+				.add(new ControlPart(this.settings, this.replicaLinks.transport(ReplicaLinks.Group.CONTROL),
+						(page) -> this.loop.execute(() -> this.contracts.accept(page))));
+			this.replicaLinks.register(ReplicaLinks.Group.CONTROL, part.replica());
+			this.control = Optional.of(part);
+		}
+		if (this.settings.self().has(Role.LEDGER)) {
+			LedgerPart part = this.closer
+				.add(new LedgerPart(this.settings, this.replicaLinks.transport(ReplicaLinks.Group.LEDGER)));
+			this.replicaLinks.register(ReplicaLinks.Group.LEDGER, part.replica());
+			this.ledger = Optional.of(part);
+		}
+	}
+
+	private void startReplicas() {
+		this.control.ifPresent(ControlPart::start);
+		this.ledger.ifPresent((part) -> part.start(this.loop));
+	}
+
+	private PeerService newPeerService() throws IOException {
+		VmSettings self = this.settings.self();
+		String address = (self.peer().port() != 0) ? self.peer().toString() : "";
+		PeerIdentity identity = new PeerIdentity(self.vm(), self.dataCentre(), self.region(), this.incarnation,
+				address);
+		TlsSettings tls = this.settings.peerTls()
+			.map((files) -> new TlsSettings(files.certificateFile(), files.keyFile(), files.trustFile()))
+			.orElse(null);
+		PeerServiceSettings peerSettings = new PeerServiceSettings(identity, roleBits(self),
+				self.peer().toSocketAddress(), seeds(), tls, PeerSettings.defaults(), MembershipSettings.defaults(),
+				SummarySettings.defaults());
+		return new PeerService(this.loop, peerSettings, this.serving::onForwarded, this.contracts,
+				this.serving.registry(), this.serving.policyExchange()::capacity, new Events(),
+				RandomSource.XO_RO_SHI_RO_128_PP.create());
+	}
+
+	private static int roleBits(VmSettings vm) {
+		return vm.roles().stream().mapToInt((role) -> 1 << role.ordinal()).sum();
+	}
+
+	private List<Seed> seeds() {
+		return this.settings.vms()
+			.stream()
+			.filter((vm) -> !vm.vm().equals(this.settings.self().vm()) && vm.peer().port() != 0)
+			.sorted(Comparator.comparing((VmSettings vm) -> !vm.has(Role.CONTROL)))
+			.map((vm) -> new Seed(vm.peer().toSocketAddress(), vm.dataCentre(), vm.region()))
+			.toList();
+	}
+
+	private void startPeers(OnceService once) throws IOException {
+		InetSocketAddress bound;
+		try {
+			bound = this.peers.start().get();
+		}
+		catch (ExecutionException ex) {
+			throw new IOException(
+					"The peer link can't listen at " + this.settings.self().peer()
+							+ ". The port may be in use or the address not this VM's: " + ex.getCause().getMessage(),
+					ex);
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+			throw new IOException("The start was interrupted.", ex);
+		}
+		this.closer.add(() -> this.peers.stop().get(1, TimeUnit.SECONDS));
+		this.loop.execute(() -> {
+			this.peers.answer(PeerChannel.ONCE, once::answer);
+			this.replicaLinks.start(this.peers);
+			this.serving.policyExchange().start(this.peers);
+			connectControls();
+		});
+		this.closer.add(() -> this.loop.execute(this.serving.policyExchange()::close));
+		this.loop.scheduleAtFixedRate(this::updateBoard, 0, BOARD_PERIOD_MILLIS, TimeUnit.MILLISECONDS);
+		logger.debugf("Daemon: peers are accepted at %s.", bound);
+	}
+
+	private void connectControls() {
+		if (this.control.isEmpty()) {
+			return;
+		}
+		for (VmSettings vm : this.settings.withRole(Role.CONTROL)) {
+			if (!vm.vm().equals(this.settings.self().vm())) {
+				this.peers.node().connect(vm.peer().toSocketAddress());
+			}
+		}
+	}
+
+	private void updateBoard() {
+		this.board.update(this.peers, this.contracts.appliedIndex(), System.nanoTime());
+	}
+
+	private int startHttp(EntryDirectory directory) throws IOException {
+		this.front = new HttpFront(this.loop, this.settings.httpLimits(), new HttpRoutes(routes(directory)));
+		this.closer.add(this.front);
+		this.serving.metrics().gauge("vanillatrestle.connections", this.front::connectionCount);
+		return this.front.listen(this.settings.self().http());
+	}
+
+	private List<HttpRoute> routes(EntryDirectory directory) {
+		OperatorKeys operators = new OperatorKeys(this.settings.operators());
+		List<HttpRoute> routes = new ArrayList<>();
+		routes.add(new HealthRoute(() -> this.contracts.isLoaded() && !this.shuttingDown));
+		routes.add(new MetricsRoute(this.serving.metrics()::scrape));
+		routes.add(new TargetsRoute(this::announce, directory::localEntries, this.settings.targetTtlMillis(),
+				this.settings.targetSecretSha256().orElse(null)));
+		routes
+			.add(new EntryRoute(this.contracts, directory, new KeyPrefixes(this.settings, this.serving.onceClient())));
+		routes.add(new OnceRoute(this.contracts, this.serving.onceClient()));
+		routes.add(operatorRoute(operators));
+		routes.add(new StatusRoute(operators, this::status));
+		routes.add(this.serving.pipelineRoute());
+		return routes;
+	}
+
+	private ObjectNode status() {
+		return new StatusDocument(this.settings, this.contracts, this.peers, this.control, this.ledger).build();
+	}
+
+	private HttpRoute operatorRoute(OperatorKeys operators) {
+		if (this.control.isPresent()) {
+			return new OperatorRoute(
+					new OperatorService(operators, this.control.get().gateway(), this.board, System::currentTimeMillis),
+					this.loop);
+		}
+		return new NotControlRoute(
+				this.settings.withRole(Role.CONTROL).stream().map((vm) -> vm.http().toString()).toList());
+	}
+
+	private AnnouncementOutcome announce(Announcement announcement) {
+		AnnouncementOutcome outcome = this.serving.registry().announce(announcement, System.nanoTime());
+		if (outcome == AnnouncementOutcome.ACCEPTED) {
+			this.peers.announced(announcement);
+		}
+		return outcome;
+	}
+
+	/**
+	 * Begins a graceful stop: tells the other VMs and refuses new requests.
+	 */
+	public void startShutdown() {
+		this.shuttingDown = true;
+		this.front.startShutdown();
+		this.loop.submit(() -> {
+			this.peers.leave();
+			this.serving.startShutdown();
+		}).awaitUninterruptibly();
+	}
+
+	/**
+	 * Returns the number of requests that have not ended.
+	 * @return the number
+	 */
+	public int busyCount() {
+		return this.loop.submit(this.serving::busyCount).awaitUninterruptibly().getNow();
+	}
+
+	public BookContracts contracts() {
+		return this.contracts;
+	}
+
+	/**
+	 * Takes what happens among the VMs. Used on the VM's event loop.
+	 */
+	private final class Events implements PeerEvents {
+
+		@Override
+		public void memberChanged(MembershipEvent event) {
+			boolean ended = event.kind() == MembershipEvent.Kind.DIED || event.kind() == MembershipEvent.Kind.LEFT;
+			boolean anew = event.kind() == MembershipEvent.Kind.JOINED;
+			NodeParts parts = NodeParts.this;
+			if (ended) {
+				parts.ledger
+					.ifPresent((part) -> part.holderEnded(event.member().vm(), event.member().incarnation() + 1));
+			}
+			if (anew) {
+				parts.ledger.ifPresent((part) -> part.holderEnded(event.member().vm(), event.member().incarnation()));
+			}
+		}
+
+		@Override
+		public void regionChanged(RegionReach reach) {
+			logger.infof("Daemon: region %s is %s.", reach.region(), reach.reachable() ? "reachable" : "unreachable");
+		}
+
+	}
+
+}
--- /dev/null
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/node/PolicyExchange.java
@@ -0,0 +1,142 @@
+package org.vanillatrestle.daemon.internal.node;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
+
+import io.netty.channel.EventLoop;
+import io.netty.util.concurrent.Future;
+import org.vanillatrestle.TargetId;
+import org.vanillatrestle.VmId;
+import org.vanillatrestle.daemon.internal.peer.PeerService;
+import org.vanillatrestle.internal.limits.AddressedLimitMessage;
+import org.vanillatrestle.internal.limits.LimitMessage;
+import org.vanillatrestle.internal.membership.CapacityRow;
+import org.vanillatrestle.internal.membership.MemberRecord;
+import org.vanillatrestle.internal.policy.RequestPolicy;
+import org.vanillatrestle.wire.PeerChannel;
+import org.vanillatrestle.wire.PeerException;
+import org.vanillatrestle.wire.PeerIdentity;
+import org.vanillatrestle.wire.PolicyCodec;
+
+/**
+ * Keeps the policies of the VMs in touch: shares of limits between all VMs, requests in
+ * flight within the data centre, and capacity between data centres.
+ * <p>
+ * Used on the VM's event loop.
+ */
+final class PolicyExchange implements AutoCloseable {
+
+	private static final long LIMIT_PERIOD_MILLIS = 1_000;
+
+	private static final long IN_FLIGHT_PERIOD_MILLIS = 200;
+
+	private final EventLoop loop;
+
+	private final RequestPolicy policy;
+
+	private final PoolRows rows;
+
+	private final LongSupplier clockNanos;
+
+	private PeerService peers;
+
+	private Map<TargetId, Integer> lastInFlight = Map.of();
+
+	private final List<Future<?>> timers = new ArrayList<>();
+
+	PolicyExchange(EventLoop loop, RequestPolicy policy, PoolRows rows, LongSupplier clockNanos) {
+		this.loop = loop;
+		this.policy = policy;
+		this.rows = rows;
+		this.clockNanos = clockNanos;
+	}
+
+	void start(PeerService service) {
+		this.peers = service;
+		service.receive(PeerChannel.SHARES, this::receive);
+		every(LIMIT_PERIOD_MILLIS, this::tickLimits);
+		every(IN_FLIGHT_PERIOD_MILLIS, this::tellInFlight);
+	}
+
+	private void every(long periodMillis, Runnable action) {
+		this.timers.add(this.loop.scheduleAtFixedRate(action, periodMillis, periodMillis, TimeUnit.MILLISECONDS));
+	}
+
+	private void tickLimits() {
+		long nowNanos = this.clockNanos.getAsLong();
+		send(this.policy.limitTick(nowNanos));
+		this.peers.summaries()
+			.summaries()
+			.forEach((summary) -> this.rows.toSummaries(summary)
+				.forEach((row) -> this.policy.regionSummary(row, nowNanos)));
+	}
+
+	private void tellInFlight() {
+		Map<TargetId, Integer> inFlight = this.policy.ownInFlight();
+		if (inFlight.equals(this.lastInFlight)) {
+			return;
+		}
+		this.lastInFlight = Map.copyOf(inFlight);
+		byte[] payload = PolicyCodec.encode(this.lastInFlight);
+		for (MemberRecord member : this.peers.membership().present()) {
+			this.peers.node().send(member.vm(), PeerChannel.SHARES, payload);
+		}
+	}
+
+	private void send(List<AddressedLimitMessage> messages) {
+		messages.forEach((message) -> this.peers.node()
+			.send(message.to(), PeerChannel.SHARES, PolicyCodec.encode(message.message())));
+	}
+
+	private void receive(PeerIdentity sender, byte[] payload) throws PeerException {
+		boolean neighbour = sender.dataCentre().equals(this.peers.node().self().dataCentre());
+		PolicyCodec.decode(payload, new Receiver(sender.vm(), neighbour));
+	}
+
+	/**
+	 * Returns what this data centre can take, for the others.
+	 * @return a row for each pool
+	 */
+	List<CapacityRow> capacity() {
+		return this.policy.summaries(this.clockNanos.getAsLong()).stream().map(this.rows::toRow).toList();
+	}
+
+	@Override
+	public void close() {
+		this.timers.forEach((timer) -> timer.cancel(false));
+	}
+
+	/**
+	 * Takes the messages of one VM.
+	 */
+	private final class Receiver implements PolicyCodec.Visitor {
+
+		private final VmId sender;
+
+		private final boolean neighbour;
+
+		Receiver(VmId sender, boolean neighbour) {
+			this.sender = sender;
+			this.neighbour = neighbour;
+		}
+
+		@Override
+		public void limits(LimitMessage message) {
+			PolicyExchange exchange = PolicyExchange.this;
+			exchange.send(exchange.policy.limitMessage(this.sender, message, exchange.clockNanos.getAsLong()));
+		}
+
+		@Override
+		public void inFlight(Map<TargetId, Integer> inFlight) {
+			if (this.neighbour) {
+				PolicyExchange exchange = PolicyExchange.this;
+				exchange.policy.peerInFlight(this.sender, inFlight, exchange.clockNanos.getAsLong());
+			}
+		}
+
+	}
+
+}
--- /dev/null
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/node/RegionStatusBoard.java
@@ -0,0 +1,68 @@
+package org.vanillatrestle.daemon.internal.node;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.OptionalLong;
+
+import org.vanillatrestle.DataCentreId;
+import org.vanillatrestle.RegionId;
+import org.vanillatrestle.daemon.internal.operator.RegionStatus;
+import org.vanillatrestle.daemon.internal.operator.RegionStatusSource;
+import org.vanillatrestle.daemon.internal.peer.PeerService;
+import org.vanillatrestle.internal.membership.DataCentreSummary;
+import org.vanillatrestle.internal.membership.MemberRecord;
+import org.vanillatrestle.internal.membership.RegionReach;
+
+/**
+ * How far each region follows the contract book, as this VM last heard.
+ * <p>
+ * Written on the VM's event loop, read by any thread.
+ */
+final class RegionStatusBoard implements RegionStatusSource {
+
+	private static final long NANOS_PER_MILLI = 1_000_000;
+
+	private final RegionId region;
+
+	private final DataCentreId dataCentre;
+
+	private volatile List<RegionStatus> regions = List.of();
+
+	RegionStatusBoard(RegionId region, DataCentreId dataCentre) {
+		this.region = region;
+		this.dataCentre = dataCentre;
+	}
+
+	void update(PeerService peers, long ownIndex, long nowNanos) {
+		List<RegionStatus> result = new ArrayList<>();
+		List<DataCentreSummary> summaries = peers.summaries().summaries();
+		long lowest = ownIndex;
+		for (MemberRecord member : peers.membership().present()) {
+			lowest = Math.min(lowest, member.appliedIndex());
+		}
+		result.add(new RegionStatus(this.region, Math.min(lowest, lowestOf(this.region, summaries)),
+				OptionalLong.empty()));
+		for (RegionReach reach : peers.summaries().regions()) {
+			if (!reach.region().equals(this.region)) {
+				long index = lowestOf(reach.region(), summaries);
+				result.add(new RegionStatus(reach.region(), (index != Long.MAX_VALUE) ? index : 0, reach.reachable()
+						? OptionalLong.empty() : OptionalLong.of((nowNanos - reach.sinceNanos()) / NANOS_PER_MILLI)));
+			}
+		}
+		this.regions = List.copyOf(result);
+	}
+
+	private long lowestOf(RegionId wanted, List<DataCentreSummary> summaries) {
+		return summaries.stream()
+			.filter((summary) -> summary.region().equals(wanted) && !summary.dataCentre().equals(this.dataCentre))
+			.mapToLong(DataCentreSummary::appliedIndex)
+			.min()
+			.orElse(Long.MAX_VALUE);
+	}
+
+	@Override
+	public List<RegionStatus> regions() {
+		return this.regions;
+	}
+
+}
--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/pipeline/Refusals.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/pipeline/Refusals.java
@@ -143,6 +143,39 @@
 				Verdict.MAY_HAVE_RUN, Verdict.NOT_RUN, NEVER, List.of());
 	}
 
+	public static Refusal unknownOperator() {
+		return new Refusal(401, "OPERATOR_UNKNOWN",
+				"This needs an operator's bearer key that the settings of this VM list by its hash.", Verdict.NOT_RUN,
+				NEVER);
+	}
+
+	public static Refusal notControl(List<String> controls) {
+		return new Refusal(421, "NOT_CONTROL",
+				"This VM has no replica of the contract book. Ask one of the VMs listed under entries.",
+				Verdict.NOT_RUN, Verdict.NOT_RUN, NEVER, controls);
+	}
+
+	public static Refusal keyInProgress(long retryAfterMillis) {
+		return new Refusal(409, "IN_PROGRESS",
+				"An earlier attempt under this Idempotency-Key is still in progress."
+						+ " Send the call again under the same key to get its answer.",
+				Verdict.MAY_HAVE_RUN, Verdict.NOT_RUN, retryAfterMillis, List.of());
+	}
+
+	public static Refusal answerNotStored() {
+		return new Refusal(409, "ANSWER_NOT_STORED",
+				"The call ran under this Idempotency-Key, but its answer was too large to store."
+						+ " Ask the service for the result.",
+				Verdict.RAN, Verdict.NOT_RUN, NEVER, List.of());
+	}
+
+	public static Refusal claimNotGranted(String reason, long retryAfterMillis) {
+		return new Refusal(
+				503, "CLAIM_NOT_GRANTED", "The once ledger took no claim (" + reason
+						+ "), so the call was not dispatched. Send it again under" + " the same key.",
+				Verdict.MAY_HAVE_RUN, Verdict.NOT_RUN, retryAfterMillis, List.of());
+	}
+
 	public static Refusal ledgerUnreachable(RegionId home, long retryAfterMillis) {
 		return new Refusal(503, "LEDGER_UNREACHABLE",
 				"The once ledger of the caller's home region '" + home + "' can't be reached, so the call was not"
--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/settings/Settings.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/settings/Settings.java
@@ -21,8 +21,6 @@
 
 	private final Path dataFolder;
 
-	private final Path contractsFolder;
-
 	private final List<OperatorSettings> operators;
 
 	private final String targetSecretSha256;
@@ -45,7 +43,6 @@
 		this.self = builder.self;
 		this.vms = List.copyOf(builder.vms);
 		this.dataFolder = builder.dataFolder;
-		this.contractsFolder = builder.contractsFolder;
 		this.operators = List.copyOf(builder.operators);
 		this.targetSecretSha256 = builder.targetSecretSha256;
 		this.httpLimits = builder.httpLimits;
@@ -120,14 +117,6 @@
 		return Optional.ofNullable(this.dataFolder);
 	}
 
-	/**
-	 * Returns the folder of contracts that are in force from the start.
-	 * @return the folder, or empty if contracts come from the contract book alone
-	 */
-	public Optional<Path> contractsFolder() {
-		return Optional.ofNullable(this.contractsFolder);
-	}
-
 	public List<OperatorSettings> operators() {
 		return this.operators;
 	}
@@ -183,8 +172,6 @@
 
 		private Path dataFolder;
 
-		private Path contractsFolder;
-
 		private List<OperatorSettings> operators = List.of();
 
 		private String targetSecretSha256;
@@ -213,11 +200,6 @@
 			return this;
 		}
 
-		public Builder contractsFolder(Path contractsFolder) {
-			this.contractsFolder = contractsFolder;
-			return this;
-		}
-
 		public Builder operators(List<OperatorSettings> operators) {
 			this.operators = operators;
 			return this;
--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/settings/SettingsReader.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/settings/SettingsReader.java
@@ -76,9 +76,6 @@
 			.shutdownGraceMillis(top.integer("shutdownGraceMillis", 0, MAX_MILLIS, 30_000))
 			.transferPriceMicrosPerMegabyte(top.integer("transferPriceMicrosPerMegabyte", 0, Integer.MAX_VALUE, 0));
 		readDataFolder(top, folder, self, builder);
-		if (top.has("contractsFolder")) {
-			builder.contractsFolder(folder.resolve(top.string("contractsFolder")).normalize());
-		}
 		readHttpLimits(top, builder);
 		readPeerTls(top, folder, builder);
 		readLog(top, builder);
