Add the experiment command with fake engines and four baselines

Cause: the policy must be measured under load and faults. Change: experiments in virtual time run the policy code of each VM against fake engines with continuous batching, prefix caches and faults, over links with delay and byte rate; round robin, least reported load, home only and random stay as baselines.

--- /dev/null
+++ b/vanillatrestle-bench/src/main/java/org/vanillatrestle/bench/internal/experiment/LocalAttempt.java
@@ -0,0 +1,90 @@
+package org.vanillatrestle.bench.internal.experiment;
+
+import org.vanillatrestle.Verdict;
+import org.vanillatrestle.internal.request.Attempt;
+import org.vanillatrestle.internal.request.AttemptOutcome;
+import org.vanillatrestle.internal.request.Placement;
+import org.vanillatrestle.internal.request.Ticket;
+
+/**
+ * One attempt of a VM at a target of its own data centre, told to the policy.
+ * <p>
+ * Not thread safe.
+ */
+final class LocalAttempt implements Job.Listener {
+
+	private final PolicyRouter router;
+
+	private final SimulatedRequest request;
+
+	private final Attempt attempt;
+
+	private final Call call;
+
+	private final Job.Listener listener;
+
+	private boolean over;
+
+	LocalAttempt(PolicyRouter router, SimulatedRequest request, Ticket ticket, Placement.Local placement,
+			Job.Listener listener) {
+		this.router = router;
+		this.request = request;
+		this.listener = listener;
+		this.attempt = router.policy().dispatched(ticket, placement, router.now());
+		FakeTarget target = router.world().target(placement.target().target());
+		this.call = new Call(router.world(), router.region(), target, request, this);
+		long timeoutNanos = router.policy().firstByteTimeoutNanos(ticket.request(), router.now());
+		router.world().loop().after(timeoutNanos, this::timeOut);
+	}
+
+	void start() {
+		this.call.start();
+	}
+
+	void cancel() {
+		end(AttemptOutcome.CANCELLED, 0);
+		this.call.cancel();
+	}
+
+	private void timeOut() {
+		if (!this.attempt.firstByteSeen() && end(AttemptOutcome.TIMED_OUT, 0)) {
+			this.call.cancel();
+			this.listener.failed(Verdict.MAY_HAVE_RUN, false);
+		}
+	}
+
+	@Override
+	public void first(boolean prefixHit) {
+		this.router.policy().firstByte(this.attempt, this.router.now());
+		this.listener.first(prefixHit);
+	}
+
+	@Override
+	public void done(int tokens) {
+		if (end(AttemptOutcome.COMPLETED, tokens)) {
+			this.listener.done(tokens);
+		}
+	}
+
+	@Override
+	public void failed(Verdict verdict, boolean refused) {
+		if (end(refused ? AttemptOutcome.REFUSED : AttemptOutcome.FAILED, 0)) {
+			this.listener.failed(verdict, refused);
+		}
+	}
+
+	SimulatedRequest request() {
+		return this.request;
+	}
+
+	private boolean end(AttemptOutcome outcome, int tokens) {
+		if (this.over) {
+			return false;
+		}
+		this.over = true;
+		this.router.policy().finished(this.attempt, outcome, tokens, this.router.now());
+		this.router.startReady();
+		return true;
+	}
+
+}
--- a/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/policy/RequestPolicy.java
+++ b/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/policy/RequestPolicy.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -200,9 +201,8 @@
 
 	private Admission queueOrStart(Ticket ticket, long nowNanos) {
 		PolicyRequest request = ticket.request();
-		Pool pool = this.selector.pool(request, nowNanos);
+		Pool pool = this.selector.pool(request.pool(), nowNanos);
 		PoolState state = this.pools.computeIfAbsent(request.pool(), (key) -> new PoolState(this.settings));
-		state.sample = request;
 		if (state.queue.queue().isEmpty() && canStart(request, pool, state, nowNanos)) {
 			state.queue.admit(ticket);
 			return new Admission.Admitted(ticket);
@@ -221,14 +221,15 @@
 	 */
 	public List<ReadyTicket> ready(long nowNanos) {
 		List<ReadyTicket> result = new ArrayList<>();
-		for (PoolState state : this.pools.values()) {
+		for (Map.Entry<PoolKey, PoolState> entry : this.pools.entrySet()) {
+			PoolState state = entry.getValue();
 			if (!state.queue.hasWork()) {
 				continue;
 			}
 			result.addAll(state.queue.ready((request) -> {
-				Pool pool = this.selector.pool(request, nowNanos);
+				Pool pool = this.selector.pool(request.pool(), nowNanos);
 				return canStart(request, pool, state, nowNanos);
-			}, drain(this.selector.pool(state.sample, nowNanos)), nowNanos));
+			}, drain(this.selector.pool(entry.getKey(), nowNanos)), nowNanos));
 		}
 		for (ReadyTicket ready : result) {
 			if (ready.refusal().isPresent()) {
@@ -259,7 +260,7 @@
 	 * @return the place
 	 */
 	public Placement place(PolicyRequest request, Set<TargetId> tried, boolean mayForward, long nowNanos) {
-		Pool pool = this.selector.pool(request, nowNanos);
+		Pool pool = this.selector.pool(request.pool(), nowNanos);
 		Optional<Announcement> local = Optional.empty();
 		if (request.allowedRegions().contains(this.region)) {
 			local = this.selector.choose(pool, request, tried, nowNanos);
@@ -393,31 +394,26 @@
 	}
 
 	/**
-	 * Sums up this data centre's pools that had requests, for the other data centres.
+	 * Sums up this data centre's pools, for the other data centres.
 	 * @param nowNanos the monotonic time in nanoseconds
 	 * @return the summaries
 	 */
 	public List<RegionSummary> summaries(long nowNanos) {
 		List<RegionSummary> result = new ArrayList<>();
-		for (PoolState state : this.pools.values()) {
-			result.add(summary(state.sample, nowNanos));
+		Set<PoolKey> keys = new HashSet<>(this.pools.keySet());
+		keys.addAll(this.selector.livePools(nowNanos));
+		for (PoolKey key : keys) {
+			result.add(summary(key, nowNanos));
 		}
 		return result;
 	}
 
-	/**
-	 * Sums up the pool of a request.
-	 * @param request the request
-	 * @param nowNanos the monotonic time in nanoseconds
-	 * @return the summary
-	 */
-	public RegionSummary summary(PolicyRequest request, long nowNanos) {
-		Pool pool = this.selector.pool(request, nowNanos);
-		int sharers = this.selector.peers() + 1;
-		double waiting = waiting(request.pool()) * (double) sharers;
+	private RegionSummary summary(PoolKey key, long nowNanos) {
+		Pool pool = this.selector.pool(key, nowNanos);
+		double waiting = waiting(key) * (double) (this.selector.peers() + 1);
 		int free = (int) Math.max(0, pool.free() - waiting);
-		return new RegionSummary(this.region, this.dataCentre, request.pool(), free, (int) pool.slots(),
-				pool.waitNanos(waiting), pool.cheapestPerThousandTokensMicros(), pool.cheapestPerRequestMicros());
+		return new RegionSummary(this.region, this.dataCentre, key, free, (int) pool.slots(), pool.waitNanos(waiting),
+				pool.cheapestPerThousandTokensMicros(), pool.cheapestPerRequestMicros());
 	}
 
 	public CostAccount costs() {
@@ -460,8 +456,6 @@
 
 		private final PoolQueue queue;
 
-		private PolicyRequest sample;
-
 		PoolState(PolicySettings settings) {
 			this.queue = new PoolQueue(settings.admission());
 		}
--- a/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/request/PoolKey.java
+++ b/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/request/PoolKey.java
@@ -1,10 +1,14 @@
 package org.vanillatrestle.internal.request;
 
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Optional;
 
 import org.vanillatrestle.CustomerId;
 import org.vanillatrestle.ModelName;
+import org.vanillatrestle.ServiceKind;
 import org.vanillatrestle.ServiceName;
+import org.vanillatrestle.internal.target.Announcement;
 
 /**
  * Names the targets that can stand in for each other: those of one model, or those of one
@@ -32,4 +36,31 @@
 		return new PoolKey(null, customer, service);
 	}
 
+	/**
+	 * Returns the pools that a target belongs to.
+	 * @param announcement the target's announcement
+	 * @return the pools, none for a plain service that is open to any customer
+	 */
+	public static List<PoolKey> of(Announcement announcement) {
+		List<PoolKey> result = new ArrayList<>();
+		announcement.models().forEach((model) -> result.add(new PoolKey(model, null, null)));
+		if (announcement.kind() == ServiceKind.PLAIN && announcement.customer() != null) {
+			result.add(new PoolKey(null, announcement.customer(), announcement.service()));
+		}
+		return result;
+	}
+
+	/**
+	 * Tells whether a target belongs to the pool. An engine that serves one customer
+	 * alone belongs to its models' pools, too.
+	 * @param announcement the target's announcement
+	 * @return whether it does
+	 */
+	public boolean contains(Announcement announcement) {
+		if (this.model != null) {
+			return announcement.models().contains(this.model);
+		}
+		return announcement.serves(this.customer, this.service, Optional.empty());
+	}
+
 }
--- a/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/select/TargetSelector.java
+++ b/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/select/TargetSelector.java
@@ -9,6 +9,7 @@
 import java.util.Set;
 
 import org.apache.commons.rng.UniformRandomProvider;
+import org.vanillatrestle.CustomerId;
 import org.vanillatrestle.TargetId;
 import org.vanillatrestle.VmId;
 import org.vanillatrestle.internal.request.Attempt;
@@ -54,16 +55,16 @@
 	}
 
 	/**
-	 * Views the pool of a request.
-	 * @param request the request
+	 * Views a pool.
+	 * @param key the pool
 	 * @param nowNanos the monotonic time in nanoseconds
 	 * @return the pool, valid until the next call
 	 */
-	public Pool pool(PolicyRequest request, long nowNanos) {
-		Pool pool = this.pools.computeIfAbsent(request.pool(), Pool::new);
+	public Pool pool(PoolKey key, long nowNanos) {
+		Pool pool = this.pools.computeIfAbsent(key, Pool::new);
 		if (pool.needsView(this.registry.version(), nowNanos, VIEW_NANOS)) {
 			expirePeers(nowNanos);
-			pool.view(candidates(request, pool, nowNanos), this.registry.version(), nowNanos);
+			pool.view(candidates(pool, nowNanos), this.registry.version(), nowNanos);
 			pruneStates(nowNanos);
 		}
 		pool.refresh(this.settings, nowNanos);
@@ -79,7 +80,7 @@
 	 * @return the target, or empty if none is left
 	 */
 	public Optional<Announcement> choose(Pool pool, PolicyRequest request, Set<TargetId> tried, long nowNanos) {
-		List<Candidate> untried = untried(pool, tried);
+		List<Candidate> untried = untried(pool, request, tried);
 		if (untried.isEmpty()) {
 			return Optional.empty();
 		}
@@ -196,24 +197,35 @@
 		return (long) Math.max(MIN_FIRST_BYTE_TIMEOUT_NANOS, FIRST_BYTE_TIMEOUT_FACTOR * usualNanos);
 	}
 
-	private List<Candidate> candidates(PolicyRequest request, Pool pool, long nowNanos) {
+	private List<Candidate> candidates(Pool pool, long nowNanos) {
 		List<Candidate> result = new ArrayList<>();
-		for (Announcement announcement : this.registry.candidates(request.customer(), request.service().name(),
-				request.model(), nowNanos)) {
-			TargetState state = state(announcement.target());
-			state.observe(announcement, pool.firstView(), nowNanos);
-			result.add(new Candidate(announcement, state));
+		for (Announcement announcement : this.registry.open(nowNanos)) {
+			if (pool.key().contains(announcement)) {
+				TargetState state = state(announcement.target());
+				state.observe(announcement, pool.firstView(), nowNanos);
+				result.add(new Candidate(announcement, state));
+			}
 		}
 		return result;
 	}
 
-	private static List<Candidate> untried(Pool pool, Set<TargetId> tried) {
-		if (tried.isEmpty()) {
-			return pool.candidates();
-		}
+	/**
+	 * Returns the pools of the targets that are alive.
+	 * @param nowNanos the monotonic time in nanoseconds
+	 * @return the pools
+	 */
+	public Set<PoolKey> livePools(long nowNanos) {
+		Set<PoolKey> result = new HashSet<>();
+		this.registry.open(nowNanos).forEach((announcement) -> result.addAll(PoolKey.of(announcement)));
+		return result;
+	}
+
+	private static List<Candidate> untried(Pool pool, PolicyRequest request, Set<TargetId> tried) {
 		List<Candidate> result = new ArrayList<>(pool.candidates().size());
 		for (Candidate candidate : pool.candidates()) {
-			if (!tried.contains(candidate.announcement().target())) {
+			CustomerId owner = candidate.announcement().customer();
+			boolean serves = owner == null || owner.equals(request.customer());
+			if (serves && !tried.contains(candidate.announcement().target())) {
 				result.add(candidate);
 			}
 		}
--- a/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/target/TargetRegistry.java
+++ b/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/target/TargetRegistry.java
@@ -98,6 +98,21 @@
 		return result;
 	}
 
+	/**
+	 * Lists the targets that may get a new request, whichever customer's.
+	 * @param nowNanos the monotonic time in nanoseconds
+	 * @return the announcements of live targets that are not leaving
+	 */
+	public List<Announcement> open(long nowNanos) {
+		List<Announcement> result = new ArrayList<>();
+		for (Entry entry : this.entries.values()) {
+			if (isLive(entry, nowNanos) && !entry.leaving) {
+				result.add(entry.announcement);
+			}
+		}
+		return result;
+	}
+
 	/**
 	 * Lists the live targets, leaving ones included.
 	 * @param nowNanos the monotonic time in nanoseconds
