Take out targets that can't be reached, and wait for short outages

Cause: after a crash, requests went on to targets that were still announced; the floor on ejections kept them in; retries ran out of budget and requests were refused.

--- a/vanillatrestle-bench/src/main/java/org/vanillatrestle/bench/internal/experiment/LocalAttempt.java
+++ b/vanillatrestle-bench/src/main/java/org/vanillatrestle/bench/internal/experiment/LocalAttempt.java
@@ -15,8 +15,6 @@
 
 	private final PolicyRouter router;
 
-	private final SimulatedRequest request;
-
 	private final Attempt attempt;
 
 	private final Call call;
@@ -28,7 +26,6 @@
 	LocalAttempt(PolicyRouter router, SimulatedRequest request, Ticket ticket, Placement.Local placement,
 			Job.Listener listener) {
 		this.router = router;
-		this.request = request;
 		this.listener = listener;
 		this.attempt = router.policy().dispatched(ticket, placement, router.now());
 		FakeTarget target = router.world().target(placement.target().target());
@@ -68,13 +65,16 @@
 
 	@Override
 	public void failed(Verdict verdict, boolean refused) {
-		if (end(refused ? AttemptOutcome.REFUSED : AttemptOutcome.FAILED, 0)) {
+		if (end(outcome(verdict, refused), 0)) {
 			this.listener.failed(verdict, refused);
 		}
 	}
 
-	SimulatedRequest request() {
-		return this.request;
+	private static AttemptOutcome outcome(Verdict verdict, boolean refused) {
+		if (refused) {
+			return AttemptOutcome.REFUSED;
+		}
+		return (verdict == Verdict.NOT_RUN) ? AttemptOutcome.UNREACHABLE : AttemptOutcome.FAILED;
 	}
 
 	private boolean end(AttemptOutcome outcome, int tokens) {
--- a/vanillatrestle-bench/src/main/java/org/vanillatrestle/bench/internal/experiment/PolicyFlight.java
+++ b/vanillatrestle-bench/src/main/java/org/vanillatrestle/bench/internal/experiment/PolicyFlight.java
@@ -77,7 +77,13 @@
 			lose(refused);
 			return;
 		}
-		world().loop().after(this.router.policy().backoffNanos(attempts()), this::next);
+		world().loop().after(this.router.policy().backoffNanos(attempts()), this::again);
+	}
+
+	private void again() {
+		if (!isEnded()) {
+			this.router.again(this.ticket, this);
+		}
 	}
 
 	@Override
--- a/vanillatrestle-bench/src/main/java/org/vanillatrestle/bench/internal/experiment/PolicyRouter.java
+++ b/vanillatrestle-bench/src/main/java/org/vanillatrestle/bench/internal/experiment/PolicyRouter.java
@@ -219,7 +219,14 @@
 	}
 
 	private void admit(PolicyRequest request, Waiting continuation) {
-		Admission admission = this.policy.arrive(request, now());
+		follow(this.policy.arrive(request, now()), continuation);
+	}
+
+	void again(Ticket ticket, Waiting continuation) {
+		follow(this.policy.again(ticket, now()), continuation);
+	}
+
+	private void follow(Admission admission, Waiting continuation) {
 		if (admission instanceof Admission.Admitted admitted) {
 			continuation.admitted(admitted.ticket());
 		}
--- a/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/policy/RequestPolicy.java
+++ b/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/policy/RequestPolicy.java
@@ -207,12 +207,25 @@
 			state.queue.admit(ticket);
 			return new Admission.Admitted(ticket);
 		}
-		if (pool.isEmpty()) {
+		if (!pool.wasSeen()) {
 			return new Admission.Refused(RefusalReason.NO_TARGET, RETRY_MILLIS);
 		}
 		return state.queue.offer(ticket, drain(pool), nowNanos);
 	}
 
+	/**
+	 * Decides when a request may be placed again after a failed attempt; its limits stay
+	 * taken.
+	 * @param ticket the ticket, not released
+	 * @param nowNanos the monotonic time in nanoseconds
+	 * @return the answer, as from {@link #arrive}; after {@code Refused} release the
+	 * ticket
+	 */
+	public Admission again(Ticket ticket, long nowNanos) {
+		ticket.stage(Ticket.Stage.QUEUED);
+		return queueOrStart(ticket, nowNanos);
+	}
+
 	/**
 	 * Returns the tickets that leave the queues now; to be called after each end of an
 	 * attempt, each announcement and peer report, and every 10 ms while any wait.
@@ -438,7 +451,7 @@
 		long coldNanos = (request.prefixHash() != 0) ? pool.coldNanos(request.promptTokens()) : 0;
 		double tokens = request.promptTokens() + pool.answerTokens();
 		double costMicros = pool.cheapestPerRequestMicros() + pool.cheapestPerThousandTokensMicros() * tokens / 1_000;
-		return new HomeView(pool.slots() >= 1, waitNanos, (long) costMicros, coldNanos, pool.answerTokens());
+		return new HomeView(!pool.isEmpty(), waitNanos, (long) costMicros, coldNanos, pool.answerTokens());
 	}
 
 	private int waiting(PoolKey key) {
@@ -448,7 +461,7 @@
 
 	private PoolQueue.Drain drain(Pool pool) {
 		int sharers = this.selector.peers() + 1;
-		double nanosPerRequest = pool.serviceNanos() / Math.max(1, pool.slots()) * sharers;
+		double nanosPerRequest = pool.serviceNanos() / pool.expectedSlots() * sharers;
 		return new PoolQueue.Drain(nanosPerRequest, pool.serviceNanos());
 	}
 
--- a/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/request/AttemptOutcome.java
+++ b/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/request/AttemptOutcome.java
@@ -22,6 +22,11 @@
 	 */
 	REFUSED(true),
 
+	/**
+	 * No connection to the target could be made; no byte was sent.
+	 */
+	UNREACHABLE(true),
+
 	/**
 	 * No answer came in time.
 	 */
--- a/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/select/Candidate.java
+++ b/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/select/Candidate.java
@@ -64,14 +64,21 @@
 		return this.ejected;
 	}
 
+	boolean unreachable() {
+		return this.state.isUnreachable();
+	}
+
 	void eject(boolean newEjected) {
 		this.ejected = newEjected;
 	}
 
-	void refresh(long nowNanos, SelectSettings settings) {
+	/**
+	 * Takes over what is known now.
+	 * @param ramp the target's share during slow start, relative to the pool's highest
+	 */
+	void refresh(double ramp) {
 		this.outstanding = this.state.outstanding();
-		int maxRunning = this.announcement.capacity().maxRunning();
-		this.slots = Math.max(1, maxRunning * this.state.ramp(nowNanos, settings.slowStartNanos()));
+		this.slots = Math.max(1, this.announcement.capacity().maxRunning() * ramp);
 	}
 
 }
--- a/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/select/Pool.java
+++ b/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/select/Pool.java
@@ -42,6 +42,8 @@
 
 	private double slots;
 
+	private double maxSlots;
+
 	private double outstanding;
 
 	private long minPriceMicros;
@@ -79,10 +81,11 @@
 		this.outstanding = 0;
 		this.minPriceMicros = Long.MAX_VALUE;
 		int ejected = 0;
+		double maxRamp = maxRamp(settings, nowNanos);
 		for (Candidate candidate : this.candidates) {
-			candidate.refresh(nowNanos, settings);
+			candidate.refresh(candidate.state().ramp(nowNanos, settings.slowStartNanos()) / maxRamp);
 			candidate.eject(isOut(candidate.state(), settings, nowNanos));
-			ejected += candidate.ejected() ? 1 : 0;
+			ejected += (candidate.ejected() && !candidate.unreachable()) ? 1 : 0;
 			this.minPriceMicros = Math.min(this.minPriceMicros, TargetCosts.referencePrice(candidate.announcement()));
 		}
 		int allowed = this.candidates.size() * settings.maxEjectedPercent() / 100;
@@ -94,13 +97,22 @@
 			this.slots += candidate.ejected() ? 0 : candidate.slots();
 			this.outstanding += candidate.ejected() ? 0 : candidate.outstanding();
 		}
+		this.maxSlots = Math.max(this.maxSlots, this.slots);
+	}
+
+	private double maxRamp(SelectSettings settings, long nowNanos) {
+		double max = 0;
+		for (Candidate candidate : this.candidates) {
+			max = Math.max(max, candidate.state().ramp(nowNanos, settings.slowStartNanos()));
+		}
+		return max;
 	}
 
 	private boolean isOut(TargetState state, SelectSettings settings, long nowNanos) {
 		if (state.silentNanos(nowNanos) > silenceLimitNanos()) {
 			state.eject(settings, nowNanos);
 		}
-		return state.ejected(nowNanos);
+		return state.ejected(nowNanos) || state.isUnreachable();
 	}
 
 	private long silenceLimitNanos() {
@@ -109,7 +121,7 @@
 
 	private void readmit(int count) {
 		List<Candidate> out = new ArrayList<>(this.candidates);
-		out.removeIf((candidate) -> !candidate.ejected());
+		out.removeIf((candidate) -> !candidate.ejected() || candidate.unreachable());
 		out.sort(Comparator.comparingLong((candidate) -> candidate.state().ejectedUntilNanos()));
 		out.subList(0, count).forEach((candidate) -> candidate.eject(false));
 	}
@@ -131,11 +143,27 @@
 	}
 
 	/**
-	 * Tells whether no target is alive.
-	 * @return whether the pool is empty
+	 * Returns the slots to reckon with while targets are gone for a short time.
+	 * @return requests
+	 */
+	public double expectedSlots() {
+		return Math.max(1, Math.max(this.slots, this.maxSlots / 2));
+	}
+
+	/**
+	 * Tells whether no target can be reached.
+	 * @return whether the pool has no slots
 	 */
 	public boolean isEmpty() {
-		return this.candidates.isEmpty();
+		return this.slots < 1;
+	}
+
+	/**
+	 * Tells whether the pool had targets before.
+	 * @return whether it ever had
+	 */
+	public boolean wasSeen() {
+		return this.seen;
 	}
 
 	/**
--- a/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/select/TargetSelector.java
+++ b/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/select/TargetSelector.java
@@ -167,6 +167,9 @@
 		if (!attempt.firstByteSeen()) {
 			state.withdrawn();
 		}
+		if (outcome == AttemptOutcome.UNREACHABLE) {
+			state.unreachable();
+		}
 		if (outcome.speaksAgainstTarget()) {
 			state.failed(this.settings, nowNanos);
 		}
@@ -225,7 +228,7 @@
 		for (Candidate candidate : pool.candidates()) {
 			CustomerId owner = candidate.announcement().customer();
 			boolean serves = owner == null || owner.equals(request.customer());
-			if (serves && !tried.contains(candidate.announcement().target())) {
+			if (serves && !candidate.unreachable() && !tried.contains(candidate.announcement().target())) {
 				result.add(candidate);
 			}
 		}
--- a/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/select/TargetState.java
+++ b/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/select/TargetState.java
@@ -58,6 +58,8 @@
 
 	private int silent;
 
+	private boolean unreachable;
+
 	TargetState(TargetId target) {
 		this.idHash = Rendezvous.mix(target.value().hashCode() * 0x9e3779b97f4a7c15L);
 	}
@@ -101,6 +103,7 @@
 			return;
 		}
 		this.sequence = announcement.sequence();
+		this.unreachable = false;
 		int reported = announcement.load().running() + announcement.load().queued();
 		int known = this.ownInFlight + this.peersInFlight;
 		int explained = Math.max(this.knownPeak, Math.max(known, this.knownAtReport));
@@ -183,6 +186,17 @@
 		}
 	}
 
+	/**
+	 * Takes the target out until it announces itself again.
+	 */
+	void unreachable() {
+		this.unreachable = true;
+	}
+
+	boolean isUnreachable() {
+		return this.unreachable;
+	}
+
 	void eject(SelectSettings settings, long nowNanos) {
 		if (this.ejectedNow && nowNanos < this.ejectedUntilNanos) {
 			return;
--- a/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/sendaway/Remote.java
+++ b/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/sendaway/Remote.java
@@ -43,6 +43,10 @@
 		return (double) this.summary.freeSlots() / sharers - this.sentSince;
 	}
 
+	boolean mayTakeOne(int sharers) {
+		return free(sharers) >= 1 || (this.summary.freeSlots() >= 1 && this.sentSince == 0);
+	}
+
 	boolean usedBelow(int percent, int sharers) {
 		double used = this.summary.totalSlots() - this.summary.freeSlots() + (double) this.sentSince * sharers;
 		return used * 100 < (double) this.summary.totalSlots() * percent;
--- a/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/sendaway/SendAway.java
+++ b/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/sendaway/SendAway.java
@@ -145,9 +145,8 @@
 		if (!budget(summary.dataCentre(), nowNanos).has(bytes(request, home.answerTokens()), nowNanos)) {
 			return 0;
 		}
-		double freeGain = Math.max(1, remote.free(sharers));
 		if (!home.hasTargets()) {
-			return freeGain;
+			return remote.mayTakeOne(sharers) ? Math.max(1, remote.free(sharers)) : 0;
 		}
 		if (remote.free(sharers) < 1) {
 			return 0;
