--- a/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/policy/RequestPolicy.java
+++ b/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/policy/RequestPolicy.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -200,19 +201,31 @@
 
 	private Admission queueOrStart(Ticket ticket, long nowNanos) {
 		PolicyRequest request = ticket.request();
-		Pool pool = this.selector.pool(request, nowNanos);
+		Pool pool = this.selector.pool(request.pool(), nowNanos);
 		PoolState state = this.pools.computeIfAbsent(request.pool(), (key) -> new PoolState(this.settings));
-		state.sample = request;
 		if (state.queue.queue().isEmpty() && canStart(request, pool, state, nowNanos)) {
 			state.queue.admit(ticket);
 			return new Admission.Admitted(ticket);
 		}
-		if (pool.isEmpty()) {
+		if (!pool.wasSeen()) {
 			return new Admission.Refused(RefusalReason.NO_TARGET, RETRY_MILLIS);
 		}
 		return state.queue.offer(ticket, drain(pool), nowNanos);
 	}
 
+	/**
+	 * Decides when a request may be placed again after a failed attempt; its limits stay
+	 * taken.
+	 * @param ticket the ticket, not released
+	 * @param nowNanos the monotonic time in nanoseconds
+	 * @return the answer, as from {@link #arrive}; after {@code Refused} release the
+	 * ticket
+	 */
+	public Admission again(Ticket ticket, long nowNanos) {
+		ticket.stage(Ticket.Stage.QUEUED);
+		return queueOrStart(ticket, nowNanos);
+	}
+
 	/**
 	 * Returns the tickets that leave the queues now; to be called after each end of an
 	 * attempt, each announcement and peer report, and every 10 ms while any wait.
@@ -221,14 +234,15 @@
 	 */
 	public List<ReadyTicket> ready(long nowNanos) {
 		List<ReadyTicket> result = new ArrayList<>();
-		for (PoolState state : this.pools.values()) {
+		for (Map.Entry<PoolKey, PoolState> entry : this.pools.entrySet()) {
+			PoolState state = entry.getValue();
 			if (!state.queue.hasWork()) {
 				continue;
 			}
 			result.addAll(state.queue.ready((request) -> {
-				Pool pool = this.selector.pool(request, nowNanos);
+				Pool pool = this.selector.pool(request.pool(), nowNanos);
 				return canStart(request, pool, state, nowNanos);
-			}, drain(this.selector.pool(state.sample, nowNanos)), nowNanos));
+			}, drain(this.selector.pool(entry.getKey(), nowNanos)), nowNanos));
 		}
 		for (ReadyTicket ready : result) {
 			if (ready.refusal().isPresent()) {
@@ -259,7 +273,7 @@
 	 * @return the place
 	 */
 	public Placement place(PolicyRequest request, Set<TargetId> tried, boolean mayForward, long nowNanos) {
-		Pool pool = this.selector.pool(request, nowNanos);
+		Pool pool = this.selector.pool(request.pool(), nowNanos);
 		Optional<Announcement> local = Optional.empty();
 		if (request.allowedRegions().contains(this.region)) {
 			local = this.selector.choose(pool, request, tried, nowNanos);
@@ -393,31 +407,26 @@
 	}
 
 	/**
-	 * Sums up this data centre's pools that had requests, for the other data centres.
+	 * Sums up this data centre's pools, for the other data centres.
 	 * @param nowNanos the monotonic time in nanoseconds
 	 * @return the summaries
 	 */
 	public List<RegionSummary> summaries(long nowNanos) {
 		List<RegionSummary> result = new ArrayList<>();
-		for (PoolState state : this.pools.values()) {
-			result.add(summary(state.sample, nowNanos));
+		Set<PoolKey> keys = new HashSet<>(this.pools.keySet());
+		keys.addAll(this.selector.livePools(nowNanos));
+		for (PoolKey key : keys) {
+			result.add(summary(key, nowNanos));
 		}
 		return result;
 	}
 
-	/**
-	 * Sums up the pool of a request.
-	 * @param request the request
-	 * @param nowNanos the monotonic time in nanoseconds
-	 * @return the summary
-	 */
-	public RegionSummary summary(PolicyRequest request, long nowNanos) {
-		Pool pool = this.selector.pool(request, nowNanos);
-		int sharers = this.selector.peers() + 1;
-		double waiting = waiting(request.pool()) * (double) sharers;
+	private RegionSummary summary(PoolKey key, long nowNanos) {
+		Pool pool = this.selector.pool(key, nowNanos);
+		double waiting = waiting(key) * (double) (this.selector.peers() + 1);
 		int free = (int) Math.max(0, pool.free() - waiting);
-		return new RegionSummary(this.region, this.dataCentre, request.pool(), free, (int) pool.slots(),
-				pool.waitNanos(waiting), pool.cheapestPerThousandTokensMicros(), pool.cheapestPerRequestMicros());
+		return new RegionSummary(this.region, this.dataCentre, key, free, (int) pool.slots(), pool.waitNanos(waiting),
+				pool.cheapestPerThousandTokensMicros(), pool.cheapestPerRequestMicros());
 	}
 
 	public CostAccount costs() {
@@ -442,7 +451,7 @@
 		long coldNanos = (request.prefixHash() != 0) ? pool.coldNanos(request.promptTokens()) : 0;
 		double tokens = request.promptTokens() + pool.answerTokens();
 		double costMicros = pool.cheapestPerRequestMicros() + pool.cheapestPerThousandTokensMicros() * tokens / 1_000;
-		return new HomeView(pool.slots() >= 1, waitNanos, (long) costMicros, coldNanos, pool.answerTokens());
+		return new HomeView(!pool.isEmpty(), waitNanos, (long) costMicros, coldNanos, pool.answerTokens());
 	}
 
 	private int waiting(PoolKey key) {
@@ -452,7 +461,7 @@
 
 	private PoolQueue.Drain drain(Pool pool) {
 		int sharers = this.selector.peers() + 1;
-		double nanosPerRequest = pool.serviceNanos() / Math.max(1, pool.slots()) * sharers;
+		double nanosPerRequest = pool.serviceNanos() / pool.expectedSlots() * sharers;
 		return new PoolQueue.Drain(nanosPerRequest, pool.serviceNanos());
 	}
 
@@ -460,8 +469,6 @@
 
 		private final PoolQueue queue;
 
-		private PolicyRequest sample;
-
 		PoolState(PolicySettings settings) {
 			this.queue = new PoolQueue(settings.admission());
 		}
