--- a/vanillatrestle-wire/src/main/java/org/vanillatrestle/wire/internal/link/CallTable.java
+++ b/vanillatrestle-wire/src/main/java/org/vanillatrestle/wire/internal/link/CallTable.java
@@ -19,8 +19,9 @@
 /**
  * The calls of one link that wait for an answer, each way.
  * <p>
- * Not thread safe. Invariant: at most {@code maxCalls} wait each way; each call's future
- * ends, at the latest by its time-out or with the link.
+ * Not thread safe. Invariants: at most {@code maxCalls} wait each way; each call's future
+ * ends, at the latest by its time-out or with the link; a call is answered at most once,
+ * so one that is doubled or overtaken by a later one is dropped.
  */
 final class CallTable {
 
@@ -32,6 +33,8 @@
 
 	private long lastCallId;
 
+	private long lastAnsweredId;
+
 	private int answering;
 
 	private boolean closed;
@@ -79,6 +82,10 @@
 	 * @param handler computes the answer
 	 */
 	void answer(long callId, Answerer handler) {
+		if (callId <= this.lastAnsweredId) {
+			return;
+		}
+		this.lastAnsweredId = callId;
 		if (this.answering >= this.maxCalls) {
 			sendReply(callId, null, "Too many calls wait for an answer.");
 			return;
--- a/vanillatrestle-wire/src/test/java/org/vanillatrestle/wire/ScriptedHolder.java
+++ b/vanillatrestle-wire/src/test/java/org/vanillatrestle/wire/ScriptedHolder.java
@@ -26,6 +26,8 @@
 
 	boolean slow;
 
+	boolean hang;
+
 	@Override
 	public ExchangeListener onRequest(ForwardExchange exchange) {
 		Holding holding = new Holding(exchange);
@@ -88,6 +90,9 @@
 
 		private void pump() {
 			List<byte[]> pieces = ScriptedHolder.this.answer;
+			if (ScriptedHolder.this.hang) {
+				return;
+			}
 			while (this.ran && this.sent < pieces.size() && this.exchange.isWritable()) {
 				this.exchange.frame(pieces.get(this.sent++));
 			}
