--- /dev/null
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/cli/CommandFault.java
@@ -0,0 +1,23 @@
+package org.vanillatrestle.daemon.internal.cli;
+
+/**
+ * A command ends early with a message and an exit code.
+ * <p>
+ * Immutable and thread safe.
+ */
+final class CommandFault extends Exception {
+
+	private static final long serialVersionUID = 1L;
+
+	private final ExitCode exitCode;
+
+	CommandFault(ExitCode exitCode, String message) {
+		super(message);
+		this.exitCode = exitCode;
+	}
+
+	ExitCode exitCode() {
+		return this.exitCode;
+	}
+
+}
--- /dev/null
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/cli/ContractFile.java
@@ -0,0 +1,65 @@
+package org.vanillatrestle.daemon.internal.cli;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.stream.Stream;
+
+import org.vanillatrestle.Contract;
+import org.vanillatrestle.Contracts;
+import org.vanillatrestle.InvalidDocumentException;
+
+/**
+ * A contract read from a file.
+ * <p>
+ * Immutable and thread safe.
+ *
+ * @param file the file
+ * @param contract the contract
+ */
+record ContractFile(Path file, Contract contract) {
+
+	/**
+	 * Reads a file, or all JSON files of a directory sorted by name.
+	 * @param path the file or directory
+	 * @return the contracts
+	 * @throws CommandFault if one can't be read or has a fault; then none is applied
+	 */
+	static List<ContractFile> readAll(Path path) throws CommandFault {
+		List<ContractFile> contracts = new ArrayList<>();
+		for (Path file : files(path)) {
+			contracts.add(read(file));
+		}
+		if (contracts.isEmpty()) {
+			throw new CommandFault(ExitCode.INVALID, "there is no file *.json in " + path);
+		}
+		return contracts;
+	}
+
+	private static List<Path> files(Path path) throws CommandFault {
+		if (!Files.isDirectory(path)) {
+			return List.of(path);
+		}
+		try (Stream<Path> files = Files.list(path)) {
+			return files.filter((file) -> file.getFileName().toString().endsWith(".json")).sorted().toList();
+		}
+		catch (IOException ex) {
+			throw new CommandFault(ExitCode.INVALID, "the directory " + path + " can't be read");
+		}
+	}
+
+	private static ContractFile read(Path file) throws CommandFault {
+		try {
+			return new ContractFile(file, Contracts.parse(Files.readString(file)));
+		}
+		catch (IOException ex) {
+			throw new CommandFault(ExitCode.INVALID, "the file " + file + " can't be read");
+		}
+		catch (InvalidDocumentException ex) {
+			throw new CommandFault(ExitCode.INVALID, file + " has a fault: " + ex.getMessage());
+		}
+	}
+
+}
--- /dev/null
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/cli/ContractReadCommand.java
@@ -0,0 +1,78 @@
+package org.vanillatrestle.daemon.internal.cli;
+
+import java.util.function.BiConsumer;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import org.apache.commons.cli.CommandLine;
+import org.apache.commons.cli.ParseException;
+
+/**
+ * The commands that read contracts: {@code contract get}, {@code list}, {@code history}
+ * and {@code status}.
+ * <p>
+ * Stateless and thread safe.
+ */
+final class ContractReadCommand extends ReadCommand {
+
+	private final boolean ofOneCustomer;
+
+	private final String suffix;
+
+	private final BiConsumer<JsonNode, Output> printer;
+
+	private ContractReadCommand(String verb, boolean ofOneCustomer, String suffix,
+			BiConsumer<JsonNode, Output> printer) {
+		super("contract " + verb, ofOneCustomer ? "CUSTOMER" : "");
+		this.ofOneCustomer = ofOneCustomer;
+		this.suffix = suffix;
+		this.printer = printer;
+	}
+
+	static ContractReadCommand get() {
+		return new ContractReadCommand("get", true, "",
+				(document, output) -> output.json(output.isJson() ? document : document.path("contract")));
+	}
+
+	static ContractReadCommand list() {
+		return new ContractReadCommand("list", false, "", (document, output) -> output.table(document,
+				document.path("contracts"), "customer", "revision", "removed", "index"));
+	}
+
+	static ContractReadCommand history() {
+		return new ContractReadCommand("history", true, "/history", (document, output) -> output.table(document,
+				document.path("revisions"), "revision", "at", "operator", "removed", "sha256"));
+	}
+
+	static ContractReadCommand status() {
+		return new ContractReadCommand("status", true, "/status", ContractReadCommand::printStatus);
+	}
+
+	private static void printStatus(JsonNode document, Output output) {
+		if (!output.isJson()) {
+			output.line(document.path("customer").asText() + " revision " + document.path("revision").asText()
+					+ (document.path("removed").asBoolean() ? " (removed)" : ""));
+		}
+		output.table(document, document.path("regions"), "region", "revision", "reachable", "unreachableSince");
+	}
+
+	@Override
+	void check(CommandLine line) throws ParseException {
+		if (this.ofOneCustomer) {
+			customer(line);
+		}
+		else {
+			requireNoArguments(line);
+		}
+	}
+
+	@Override
+	String target(CommandLine line) {
+		return this.ofOneCustomer ? "/v1/contracts/" + line.getArgList().get(0) + this.suffix : "/v1/contracts";
+	}
+
+	@Override
+	void print(JsonNode document, Output output) {
+		this.printer.accept(document, output);
+	}
+
+}
--- /dev/null
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/cli/Output.java
@@ -0,0 +1,81 @@
+package org.vanillatrestle.daemon.internal.cli;
+
+import java.io.PrintStream;
+import java.util.ArrayList;
+import java.util.List;
+
+import com.fasterxml.jackson.databind.JsonNode;
+
+/**
+ * Prints a result as text or JSON.
+ * <p>
+ * To be used by one thread.
+ */
+final class Output {
+
+	private final PrintStream out;
+
+	private final boolean json;
+
+	Output(PrintStream out, boolean json) {
+		this.out = out;
+		this.json = json;
+	}
+
+	boolean isJson() {
+		return this.json;
+	}
+
+	void json(JsonNode document) {
+		this.out.println(document.toPrettyString());
+	}
+
+	void line(String text) {
+		this.out.println(text);
+	}
+
+	/**
+	 * Prints a result as JSON, or a list within it as a table.
+	 * @param document the whole result
+	 * @param rows the list
+	 * @param columns the names of the fields to print
+	 */
+	void table(JsonNode document, JsonNode rows, String... columns) {
+		if (this.json) {
+			json(document);
+			return;
+		}
+		List<String[]> cells = new ArrayList<>();
+		cells.add(columns);
+		rows.forEach((row) -> cells.add(cells(row, columns)));
+		int[] widths = widths(cells, columns.length);
+		cells.forEach((row) -> this.out.println(format(row, widths)));
+	}
+
+	private static String[] cells(JsonNode row, String[] columns) {
+		String[] cells = new String[columns.length];
+		for (int i = 0; i < columns.length; i++) {
+			cells[i] = row.path(columns[i]).asText("-");
+		}
+		return cells;
+	}
+
+	private static int[] widths(List<String[]> cells, int columns) {
+		int[] widths = new int[columns];
+		for (String[] row : cells) {
+			for (int i = 0; i < columns; i++) {
+				widths[i] = Math.max(widths[i], row[i].length());
+			}
+		}
+		return widths;
+	}
+
+	private static String format(String[] row, int[] widths) {
+		StringBuilder line = new StringBuilder();
+		for (int i = 0; i < row.length; i++) {
+			line.append(row[i]).append(" ".repeat(widths[i] - row[i].length() + 2));
+		}
+		return line.toString().stripTrailing();
+	}
+
+}
--- /dev/null
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/cli/ServerAddresses.java
@@ -0,0 +1,43 @@
+package org.vanillatrestle.daemon.internal.cli;
+
+import java.net.URI;
+import java.util.ArrayList;
+import java.util.List;
+
+/**
+ * Reads the addresses of {@code --server}.
+ * <p>
+ * Stateless and thread safe.
+ */
+final class ServerAddresses {
+
+	private ServerAddresses() {
+	}
+
+	static List<URI> parseAll(String list) throws CommandFault {
+		List<URI> servers = new ArrayList<>();
+		for (String server : list.split(",", -1)) {
+			servers.add(parse(server.trim()));
+		}
+		return servers;
+	}
+
+	static URI parse(String server) throws CommandFault {
+		try {
+			URI address = URI.create(server);
+			if ("http".equals(address.getScheme()) && address.getHost() != null && address.getPort() > 0) {
+				return URI.create("http://" + address.getRawAuthority());
+			}
+		}
+		catch (IllegalArgumentException ex) {
+			throw fault(server);
+		}
+		throw fault(server);
+	}
+
+	private static CommandFault fault(String server) {
+		return new CommandFault(ExitCode.INVALID,
+				"'" + server + "' is no server address; give for example http://127.0.1.1:8080");
+	}
+
+}
