--- a/vanillatrestle-bench/src/main/java/org/vanillatrestle/bench/Bench.java
+++ b/vanillatrestle-bench/src/main/java/org/vanillatrestle/bench/Bench.java
@@ -8,6 +8,7 @@
 import org.vanillatrestle.bench.internal.command.EngineCommand;
 import org.vanillatrestle.bench.internal.command.LoadCommand;
 import org.vanillatrestle.bench.internal.command.ServiceCommand;
+import org.vanillatrestle.bench.internal.command.SettingsCommand;
 
 /**
  * The bench's main class, which hands over to a subcommand.
@@ -17,7 +18,7 @@
 public final class Bench {
 
 	private static final List<BenchCommand> COMMANDS = List.of(new EngineCommand(), new ServiceCommand(),
-			new LoadCommand());
+			new LoadCommand(), new SettingsCommand());
 
 	private Bench() {
 	}
--- a/vanillatrestle-bench/src/main/java/org/vanillatrestle/bench/internal/deployment/Deployment.java
+++ b/vanillatrestle-bench/src/main/java/org/vanillatrestle/bench/internal/deployment/Deployment.java
@@ -42,17 +42,15 @@
 		.build();
 
 	/**
-	 * Creates a deployment and writes its settings files.
+	 * Creates a deployment whose settings files are already written.
 	 * @param plan its VMs
-	 * @param folder gets settings, logs and data folders
+	 * @param folder has the settings and gets logs and data folders
 	 * @param options options of the daemons' JVMs, empty for the usual ones
-	 * @throws IOException if a file can't be written
 	 */
-	public Deployment(DeploymentPlan plan, Path folder, List<String> options) throws IOException {
+	public Deployment(DeploymentPlan plan, Path folder, List<String> options) {
 		this.plan = plan;
 		this.folder = folder;
 		this.options = options.isEmpty() ? OPTIONS : List.copyOf(options);
-		plan.write(folder);
 	}
 
 	public DeploymentPlan plan() {
--- a/vanillatrestle-bench/src/main/java/org/vanillatrestle/bench/internal/deployment/DeploymentPlan.java
+++ b/vanillatrestle-bench/src/main/java/org/vanillatrestle/bench/internal/deployment/DeploymentPlan.java
@@ -9,6 +9,8 @@
 import java.util.ArrayList;
 import java.util.HexFormat;
 import java.util.List;
+import java.util.function.BiFunction;
+import java.util.function.Function;
 
 import com.fasterxml.jackson.databind.SerializationFeature;
 import com.fasterxml.jackson.databind.json.JsonMapper;
@@ -90,9 +92,20 @@
 	 * @throws IOException if a file can't be written
 	 */
 	public void write(Path folder) throws IOException {
+		write(folder, (fromRegion, vm) -> vm.peer());
+	}
+
+	/**
+	 * Writes the settings file of each VM.
+	 * @param folder the folder that gets the files
+	 * @param peerAddresses gives where the VMs of a region reach another VM
+	 * @throws IOException if a file can't be written
+	 */
+	public void write(Path folder, BiFunction<String, VmPlan, String> peerAddresses) throws IOException {
 		Files.createDirectories(folder);
 		for (VmPlan vm : this.vms) {
-			Files.writeString(settingsFile(folder, vm), MAPPER.writeValueAsString(settings(vm)) + "\n");
+			ObjectNode settings = settings(vm, (other) -> peerAddresses.apply(vm.region(), other));
+			Files.writeString(settingsFile(folder, vm), MAPPER.writeValueAsString(settings) + "\n");
 		}
 	}
 
@@ -106,10 +119,10 @@
 		return folder.resolve(vm.vm() + ".json");
 	}
 
-	private ObjectNode settings(VmPlan self) {
+	private ObjectNode settings(VmPlan self, Function<VmPlan, String> peerAddresses) {
 		ObjectNode top = Responses.object().put("vm", self.vm());
 		ArrayNode list = top.putArray("vms");
-		this.vms.forEach((vm) -> list.add(vm.toJson()));
+		this.vms.forEach((vm) -> list.add(vm.toJson(peerAddresses.apply(vm))));
 		top.putArray("operators").addObject().put("name", "operator").put("keySha256", sha256(this.operatorKey));
 		if (self.needsDisk()) {
 			top.put("dataFolder", "data/" + self.vm());
--- a/vanillatrestle-bench/src/main/java/org/vanillatrestle/bench/internal/deployment/VmPlan.java
+++ b/vanillatrestle-bench/src/main/java/org/vanillatrestle/bench/internal/deployment/VmPlan.java
@@ -39,6 +39,14 @@
 		return this.host + ":" + this.httpPort;
 	}
 
+	/**
+	 * Returns where other VMs connect.
+	 * @return {@code host:port}
+	 */
+	public String peer() {
+		return this.host + ":" + this.peerPort;
+	}
+
 	/**
 	 * Tells whether a role of this VM keeps state on a disk.
 	 * @return whether it needs a data folder
@@ -47,14 +55,14 @@
 		return this.roles.stream().anyMatch(DISK_ROLES::contains);
 	}
 
-	ObjectNode toJson() {
+	ObjectNode toJson(String peer) {
 		ObjectNode node = Responses.object()
 			.put("vm", this.vm)
 			.put("region", this.region)
 			.put("dataCentre", this.dataCentre);
 		ArrayNode names = node.putArray("roles");
 		this.roles.forEach(names::add);
-		return node.put("http", http()).put("peer", this.host + ":" + this.peerPort);
+		return node.put("http", http()).put("peer", peer);
 	}
 
 }
