--- a/vanillatrestle-bench/src/main/java/org/vanillatrestle/bench/Bench.java
+++ b/vanillatrestle-bench/src/main/java/org/vanillatrestle/bench/Bench.java
@@ -6,6 +6,7 @@
 
 import org.apache.commons.cli.ParseException;
 import org.vanillatrestle.bench.internal.command.EngineCommand;
+import org.vanillatrestle.bench.internal.command.LatencyCommand;
 import org.vanillatrestle.bench.internal.command.LoadCommand;
 import org.vanillatrestle.bench.internal.command.ServiceCommand;
 import org.vanillatrestle.bench.internal.command.SettingsCommand;
@@ -18,7 +19,7 @@
 public final class Bench {
 
 	private static final List<BenchCommand> COMMANDS = List.of(new EngineCommand(), new ServiceCommand(),
-			new LoadCommand(), new SettingsCommand());
+			new LoadCommand(), new SettingsCommand(), new LatencyCommand());
 
 	private Bench() {
 	}
--- a/vanillatrestle-bench/src/main/java/org/vanillatrestle/bench/internal/deployment/DeploymentPlan.java
+++ b/vanillatrestle-bench/src/main/java/org/vanillatrestle/bench/internal/deployment/DeploymentPlan.java
@@ -9,6 +9,7 @@
 import java.util.ArrayList;
 import java.util.HexFormat;
 import java.util.List;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.function.BiFunction;
 import java.util.function.Function;
 
@@ -26,8 +27,9 @@
  * @param vms the VMs
  * @param operatorKey the key of the only operator
  * @param shutdownGraceMillis how long a VM that stops waits for requests in flight
+ * @param contractsFolder the folder of contracts in force from the start, empty for none
  */
-public record DeploymentPlan(List<VmPlan> vms, String operatorKey, long shutdownGraceMillis) {
+public record DeploymentPlan(List<VmPlan> vms, String operatorKey, long shutdownGraceMillis, String contractsFolder) {
 
 	private static final int HTTP_PORT = 8080;
 
@@ -65,7 +67,25 @@
 						addressPrefix + "." + (vms.size() + 1), HTTP_PORT, PEER_PORT));
 			}
 		}
-		return new DeploymentPlan(vms, operatorKey, GRACE_MILLIS);
+		return new DeploymentPlan(vms, operatorKey, GRACE_MILLIS, "");
+	}
+
+	/**
+	 * Returns three numbers of loopback addresses that hardly any other process uses.
+	 * @return a prefix for {@link #of}
+	 */
+	public static String randomPrefix() {
+		ThreadLocalRandom random = ThreadLocalRandom.current();
+		return "127." + random.nextInt(10, 250) + "." + random.nextInt(1, 250);
+	}
+
+	/**
+	 * Returns the same plan with contracts in force from the start.
+	 * @param folder their folder
+	 * @return the plan
+	 */
+	public DeploymentPlan withContracts(String folder) {
+		return new DeploymentPlan(this.vms, this.operatorKey, this.shutdownGraceMillis, folder);
 	}
 
 	/**
@@ -127,6 +147,9 @@
 		if (self.needsDisk()) {
 			top.put("dataFolder", "data/" + self.vm());
 		}
+		if (!this.contractsFolder.isEmpty()) {
+			top.put("contractsFolder", this.contractsFolder);
+		}
 		return top.put("shutdownGraceMillis", this.shutdownGraceMillis);
 	}
 
--- a/vanillatrestle-bench/src/main/java/org/vanillatrestle/bench/internal/engine/ChatJson.java
+++ b/vanillatrestle-bench/src/main/java/org/vanillatrestle/bench/internal/engine/ChatJson.java
@@ -19,14 +19,16 @@
 
 	/**
 	 * Writes one chunk of a stream. Its {@code index} is the place of the chunk in the
-	 * answer, which a resumed stream continues.
+	 * answer, which a resumed stream continues; {@code sent_nanos} is the monotonic time
+	 * of this machine, by which a caller on the same machine can tell the delay of
+	 * delivery.
 	 * @param chat the request
 	 * @param index the chunk's place, from 0
 	 * @param text the token's text
 	 * @return the chunk as JSON
 	 */
 	static String chunk(ChatRequest chat, int index, String text) {
-		ObjectNode top = top(chat, "chat.completion.chunk").put("index", index);
+		ObjectNode top = top(chat, "chat.completion.chunk").put("index", index).put("sent_nanos", System.nanoTime());
 		ObjectNode choice = top.putArray("choices").addObject().put("index", 0);
 		choice.putObject("delta").put("content", text);
 		choice.putNull("finish_reason");
--- a/vanillatrestle-bench/src/main/java/org/vanillatrestle/bench/internal/load/Exchange.java
+++ b/vanillatrestle-bench/src/main/java/org/vanillatrestle/bench/internal/load/Exchange.java
@@ -46,6 +46,9 @@
 			return;
 		}
 		this.result.tokens(tokens);
+		if (this.check.lastSentNanos() != 0) {
+			this.result.delivery().recordValue(Math.max(0, nowNanos - this.check.lastSentNanos()));
+		}
 		if (this.lastTokenNanos == 0) {
 			this.result.firstToken().recordValue(nowNanos - this.intendedNanos);
 		}
--- a/vanillatrestle-bench/src/main/java/org/vanillatrestle/bench/internal/load/LoadResult.java
+++ b/vanillatrestle-bench/src/main/java/org/vanillatrestle/bench/internal/load/LoadResult.java
@@ -27,6 +27,8 @@
 
 	private final Histogram betweenTokens = new Histogram(DIGITS);
 
+	private final Histogram delivery = new Histogram(DIGITS);
+
 	private final Histogram total = new Histogram(DIGITS);
 
 	private final Map<AnswerKind, Long> answers = new EnumMap<>(AnswerKind.class);
@@ -53,6 +55,15 @@
 		return this.betweenTokens;
 	}
 
+	/**
+	 * Returns the time from the engine's sending of a token to its arrival, where both
+	 * run on one machine.
+	 * @return the histogram in nanoseconds
+	 */
+	public Histogram delivery() {
+		return this.delivery;
+	}
+
 	/**
 	 * Returns the time to the end of whole answers.
 	 * @return the histogram in nanoseconds
@@ -111,6 +122,7 @@
 	public void addSequential(LoadResult other) {
 		this.firstToken.add(other.firstToken);
 		this.betweenTokens.add(other.betweenTokens);
+		this.delivery.add(other.delivery);
 		this.total.add(other.total);
 		other.answers.forEach((kind, count) -> this.answers.merge(kind, count, Long::sum));
 		this.tokens += other.tokens;
@@ -137,6 +149,7 @@
 			.put("peakInFlight", this.peakInFlight);
 		top.set("firstTokenMillis", percentiles(this.firstToken));
 		top.set("betweenTokensMillis", percentiles(this.betweenTokens));
+		top.set("deliveryMillis", percentiles(this.delivery));
 		top.set("totalMillis", percentiles(this.total));
 		return top;
 	}
@@ -151,6 +164,7 @@
 				this.answers, wholePerSecond(), this.tokens / seconds(), this.peakInFlight));
 		line(text, "first token", this.firstToken);
 		line(text, "between tokens", this.betweenTokens);
+		line(text, "delivery", this.delivery);
 		line(text, "total", this.total);
 		return text.toString();
 	}
--- a/vanillatrestle-bench/src/main/java/org/vanillatrestle/bench/internal/load/RequestKind.java
+++ b/vanillatrestle-bench/src/main/java/org/vanillatrestle/bench/internal/load/RequestKind.java
@@ -140,6 +140,14 @@
 		 */
 		int accept(ByteBuf content);
 
+		/**
+		 * Returns when the engine sent the latest token.
+		 * @return the monotonic time of its machine, 0 if unknown
+		 */
+		default long lastSentNanos() {
+			return 0;
+		}
+
 		/**
 		 * Tells whether all that was taken is the whole answer.
 		 * @return whether it is whole
--- a/vanillatrestle-bench/src/main/java/org/vanillatrestle/bench/internal/load/StreamCheck.java
+++ b/vanillatrestle-bench/src/main/java/org/vanillatrestle/bench/internal/load/StreamCheck.java
@@ -18,6 +18,10 @@
 
 	private static final String CONTENT = "\"content\":\"";
 
+	private static final String SENT = "\"sent_nanos\":";
+
+	private static final int DECIMAL = 10;
+
 	private static final String DONE = "[DONE]";
 
 	private final TokenText expected;
@@ -28,6 +32,8 @@
 
 	private int tokens;
 
+	private long sentNanos;
+
 	private boolean wrong;
 
 	private boolean done;
@@ -67,6 +73,7 @@
 		int start = line.indexOf(CONTENT);
 		if (start >= 0) {
 			token(line, start + CONTENT.length());
+			sent(line);
 		}
 	}
 
@@ -78,6 +85,19 @@
 		this.tokens++;
 	}
 
+	private void sent(String line) {
+		int start = line.indexOf(SENT);
+		if (start >= 0) {
+			int begin = start + SENT.length();
+			this.sentNanos = Long.parseLong(line, begin, line.indexOf(',', begin), DECIMAL);
+		}
+	}
+
+	@Override
+	public long lastSentNanos() {
+		return this.sentNanos;
+	}
+
 	@Override
 	public boolean isWhole() {
 		return this.done && !this.wrong && this.tokens == this.maxTokens && this.pending.isEmpty();
--- /dev/null
+++ b/vanillatrestle-bench/src/main/java/org/vanillatrestle/bench/internal/measure/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Measurements of the gateway beside direct calls.
+ */
+package org.vanillatrestle.bench.internal.measure;
