--- a/vanillatrestle-bench/src/main/java/org/vanillatrestle/bench/internal/deployment/DeploymentPlan.java
+++ b/vanillatrestle-bench/src/main/java/org/vanillatrestle/bench/internal/deployment/DeploymentPlan.java
@@ -9,6 +9,9 @@
 import java.util.ArrayList;
 import java.util.HexFormat;
 import java.util.List;
+import java.util.concurrent.ThreadLocalRandom;
+import java.util.function.BiFunction;
+import java.util.function.Function;
 
 import com.fasterxml.jackson.databind.SerializationFeature;
 import com.fasterxml.jackson.databind.json.JsonMapper;
@@ -24,8 +27,9 @@
  * @param vms the VMs
  * @param operatorKey the key of the only operator
  * @param shutdownGraceMillis how long a VM that stops waits for requests in flight
+ * @param contractsFolder the folder of contracts in force from the start, empty for none
  */
-public record DeploymentPlan(List<VmPlan> vms, String operatorKey, long shutdownGraceMillis) {
+public record DeploymentPlan(List<VmPlan> vms, String operatorKey, long shutdownGraceMillis, String contractsFolder) {
 
 	private static final int HTTP_PORT = 8080;
 
@@ -63,7 +67,25 @@
 						addressPrefix + "." + (vms.size() + 1), HTTP_PORT, PEER_PORT));
 			}
 		}
-		return new DeploymentPlan(vms, operatorKey, GRACE_MILLIS);
+		return new DeploymentPlan(vms, operatorKey, GRACE_MILLIS, "");
+	}
+
+	/**
+	 * Returns three numbers of loopback addresses that hardly any other process uses.
+	 * @return a prefix for {@link #of}
+	 */
+	public static String randomPrefix() {
+		ThreadLocalRandom random = ThreadLocalRandom.current();
+		return "127." + random.nextInt(10, 250) + "." + random.nextInt(1, 250);
+	}
+
+	/**
+	 * Returns the same plan with contracts in force from the start.
+	 * @param folder their folder
+	 * @return the plan
+	 */
+	public DeploymentPlan withContracts(String folder) {
+		return new DeploymentPlan(this.vms, this.operatorKey, this.shutdownGraceMillis, folder);
 	}
 
 	/**
@@ -90,9 +112,20 @@
 	 * @throws IOException if a file can't be written
 	 */
 	public void write(Path folder) throws IOException {
+		write(folder, (fromRegion, vm) -> vm.peer());
+	}
+
+	/**
+	 * Writes the settings file of each VM.
+	 * @param folder the folder that gets the files
+	 * @param peerAddresses gives where the VMs of a region reach another VM
+	 * @throws IOException if a file can't be written
+	 */
+	public void write(Path folder, BiFunction<String, VmPlan, String> peerAddresses) throws IOException {
 		Files.createDirectories(folder);
 		for (VmPlan vm : this.vms) {
-			Files.writeString(settingsFile(folder, vm), MAPPER.writeValueAsString(settings(vm)) + "\n");
+			ObjectNode settings = settings(vm, (other) -> peerAddresses.apply(vm.region(), other));
+			Files.writeString(settingsFile(folder, vm), MAPPER.writeValueAsString(settings) + "\n");
 		}
 	}
 
@@ -106,14 +139,17 @@
 		return folder.resolve(vm.vm() + ".json");
 	}
 
-	private ObjectNode settings(VmPlan self) {
+	private ObjectNode settings(VmPlan self, Function<VmPlan, String> peerAddresses) {
 		ObjectNode top = Responses.object().put("vm", self.vm());
 		ArrayNode list = top.putArray("vms");
-		this.vms.forEach((vm) -> list.add(vm.toJson()));
+		this.vms.forEach((vm) -> list.add(vm.toJson(peerAddresses.apply(vm))));
 		top.putArray("operators").addObject().put("name", "operator").put("keySha256", sha256(this.operatorKey));
 		if (self.needsDisk()) {
 			top.put("dataFolder", "data/" + self.vm());
 		}
+		if (!this.contractsFolder.isEmpty()) {
+			top.put("contractsFolder", this.contractsFolder);
+		}
 		return top.put("shutdownGraceMillis", this.shutdownGraceMillis);
 	}
 
