--- a/vanillatrestle-bench/src/test/java/org/vanillatrestle/bench/serving/ServingPathTests.java
+++ b/vanillatrestle-bench/src/test/java/org/vanillatrestle/bench/serving/ServingPathTests.java
@@ -148,9 +148,9 @@
 
 	@Test
 	void shouldRunAPayoutOnceAndGiveItsAnswerToTheResend() throws IOException, InterruptedException {
-		HttpResponse<String> first = send(payout("p-1", "{\"amount\": 5}"));
-		HttpResponse<String> resend = send(payout("p-1", "{\"amount\": 5}"));
-		assertThat(first.statusCode()).isLessThan(300);
+		HttpResponse<String> first = send(payout("p-1", "{\"account\": \"17\", \"amount\": 5}"));
+		HttpResponse<String> resend = send(payout("p-1", "{\"account\": \"17\", \"amount\": 5}"));
+		assertThat(first.statusCode()).as(first.body()).isLessThan(300);
 		assertThat(resend.statusCode()).isEqualTo(first.statusCode());
 		assertThat(resend.body()).isEqualTo(first.body());
 		assertThat(resend.headers().firstValue("Vanillatrestle-Replayed")).contains("true");
@@ -159,9 +159,9 @@
 
 	@Test
 	void shouldRefuseAKeyThatWasUsedForAnotherBody() throws IOException, InterruptedException {
-		send(payout("p-2", "{\"amount\": 5}"));
-		HttpResponse<String> other = send(payout("p-2", "{\"amount\": 6}"));
-		assertThat(other.statusCode()).isEqualTo(409);
+		send(payout("p-2", "{\"account\": \"17\", \"amount\": 5}"));
+		HttpResponse<String> other = send(payout("p-2", "{\"account\": \"17\", \"amount\": 6}"));
+		assertThat(other.statusCode()).as(other.body()).isEqualTo(409);
 		assertThat(this.service.runs()).filteredOn((run) -> "p-2".equals(run.key())).hasSize(1);
 	}
 
