Make the test of a broken stream independent of prefix affinity

Cause: the policy sends equal prompts to one engine, so the engine with the fault might never be used and the check that it broke a stream failed. Change: sixteen prompts, each compared with its own whole answer. Conclusion: the test checks the same promise for more answers.

--- a/vanillatrestle-bench/src/test/java/org/vanillatrestle/bench/serving/ServingPathTests.java
+++ b/vanillatrestle-bench/src/test/java/org/vanillatrestle/bench/serving/ServingPathTests.java
@@ -6,6 +6,7 @@
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
 import java.nio.file.Path;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Set;
 
@@ -54,6 +55,8 @@
 
 	private static final String OPERATOR_KEY = "operator-key";
 
+	private static final int PROMPTS = 16;
+
 	private static final int MAX_POLLS = 500;
 
 	private static final long POLL_MILLIS = 10;
@@ -128,11 +131,14 @@
 
 	@Test
 	void shouldGiveTheSameStreamWhenTheEngineBreaksInTheMiddle() throws IOException, InterruptedException {
-		String whole = send(chat(12, true)).body();
+		List<String> whole = new ArrayList<>();
+		for (int prompt = 0; prompt < PROMPTS; prompt++) {
+			whole.add(send(chat(prompt, 12, true)).body());
+		}
 		this.engine.fault(new Fault(FaultMode.CRASH_AFTER, 4, 1, 1000));
-		for (int i = 0; i < 8; i++) {
-			HttpResponse<String> answer = send(chat(12, true));
-			assertThat(contents(answer.body())).isEqualTo(contents(whole));
+		for (int prompt = 0; prompt < PROMPTS; prompt++) {
+			HttpResponse<String> answer = send(chat(prompt, 12, true));
+			assertThat(contents(answer.body())).isEqualTo(contents(whole.get(prompt)));
 		}
 		assertThat(this.engine.runs()).anyMatch((run) -> run.sentChunks() == 4);
 	}
@@ -189,10 +195,14 @@
 	}
 
 	private HttpRequest chat(int maxTokens, boolean stream) {
+		return chat(0, maxTokens, stream);
+	}
+
+	private HttpRequest chat(int prompt, int maxTokens, boolean stream) {
 		String body = """
 				{"model": "sheet-1", "stream": %s, "max_tokens": %d,
-				 "messages": [{"role": "user", "content": "Explain the deduction of Tuesday."}]}
-				""".formatted(stream, maxTokens);
+				 "messages": [{"role": "user", "content": "Explain deduction %d of Tuesday."}]}
+				""".formatted(stream, maxTokens, prompt);
 		return request("/v1/chat/completions").POST(HttpRequest.BodyPublishers.ofString(body)).build();
 	}
 
