--- a/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/once/LedgerLimits.java
+++ b/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/once/LedgerLimits.java
@@ -20,7 +20,7 @@
 	/**
 	 * The limits when settings give none.
 	 */
-	public static final LedgerLimits DEFAULT = new LedgerLimits(200_000, 64 * 1024, 24L * 1024 * 1024,
+	public static final LedgerLimits DEFAULT = new LedgerLimits(50_000, 64 * 1024, 16L * 1024 * 1024,
 			24L * 60 * 60 * 1000, 60L * 60 * 1000);
 
 	public LedgerLimits {
--- a/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/once/OnceLedger.java
+++ b/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/once/OnceLedger.java
@@ -55,6 +55,8 @@
 
 	private final EndedHolders endedHolders = new EndedHolders();
 
+	private final ValuePool pool = new ValuePool();
+
 	private long appliedIndex;
 
 	private long ledgerMillis;
@@ -156,7 +158,7 @@
 			return new NotGranted(Refusal.FULL);
 		}
 		List<AttemptId> released = record.map(OnceRecord::released).orElse(List.of());
-		this.store.put(OnceRecord.granted(command, released, this.ledgerMillis));
+		this.store.put(this.pool.shared(OnceRecord.granted(command, released, this.ledgerMillis)));
 		return new Granted();
 	}
 
@@ -182,7 +184,8 @@
 		if (!record.get().state().isOpen()) {
 			return new Done();
 		}
-		return settle(record.get().answered(command.answer().filter(this::hasRoomFor), this.ledgerMillis));
+		Optional<StoredAnswer> stored = command.answer().filter(this::hasRoomFor);
+		return settle(this.pool.shared(record.get().answered(stored, this.ledgerMillis)));
 	}
 
 	private boolean hasRoomFor(StoredAnswer answer) {
@@ -367,7 +370,7 @@
 		this.opaqueForgotten = snapshot.opaqueForgotten();
 		this.generations.restore(snapshot.generations());
 		this.endedHolders.restore(snapshot.holders());
-		snapshot.records().forEach(this.store::put);
+		snapshot.records().forEach((record) -> this.store.put(this.pool.shared(record)));
 		waitedFor.forEach((record) -> this.listener.settled(record.key()));
 	}
 
