Compact only what the state machine holds, and read it on its own thread

Cause: the replica compacted right after a sync, when the log already counted the synced batch as applied but its commands had not been handed to the state machine. Change: compact only when no output waits.

What was chained to confirmRead() or propose() ran on the caller's thread if the future had completed first, and so read the state machine beside its own thread. read() and propose() with a function attach it before the hand-over.

--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/operator/OperatorService.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/operator/OperatorService.java
@@ -214,7 +214,7 @@
 						reading);
 			}
 			return freshness(new OperatorAnswer(200, body), reading);
-		});
+		}).exceptionally((ex) -> OperatorAnswer.error(503, "NOT_READABLE", "The book can't be read here now."));
 	}
 
 	private static OperatorAnswer freshness(OperatorAnswer answer, BookReading<?> reading) {
--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/replica/ReplicaHost.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/replica/ReplicaHost.java
@@ -9,7 +9,9 @@
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
 
 import org.apache.commons.rng.simple.RandomSource;
 import org.jboss.logging.Logger;
@@ -163,6 +165,39 @@
 		return future;
 	}
 
+	/**
+	 * Reads the state machine on the replica's thread. What follows
+	 * {@link #confirmRead()} runs there only if it was attached in time; this always
+	 * does.
+	 * @param <T> what is read
+	 * @param reader reads the state machine; must copy what it returns
+	 * @return what was read; fails with {@link RejectedExecutionException} if the replica
+	 * is closed or too many inputs wait
+	 */
+	public <T> CompletableFuture<T> read(Function<ReadOutcome, T> reader) {
+		CompletableFuture<ReadOutcome> confirmed = new CompletableFuture<>();
+		CompletableFuture<T> value = confirmed.thenApply(reader);
+		submit(() -> this.reads.put(this.log.requestRead(nowNanos()), confirmed), () -> confirmed
+			.completeExceptionally(new RejectedExecutionException("the replica takes no reads now")));
+		return value;
+	}
+
+	/**
+	 * Proposes a command, and reads the state machine on the replica's thread when the
+	 * command was applied.
+	 * @param <T> what is made of the outcome
+	 * @param command the command; must not be written to any more
+	 * @param follower makes the result; runs on the replica's thread at least when the
+	 * command is committed
+	 * @return the result
+	 */
+	public <T> CompletableFuture<T> propose(byte[] command, Function<ProposalOutcome, T> follower) {
+		CompletableFuture<ProposalOutcome> future = new CompletableFuture<>();
+		CompletableFuture<T> result = future.thenApply(follower);
+		submit(() -> propose(command, future), () -> future.complete(notTaken()));
+		return result;
+	}
+
 	/**
 	 * Removes a replica that is lost for good.
 	 * @param replica the replica
@@ -285,17 +320,24 @@
 	}
 
 	private void carryOut() {
+		boolean compacted = true;
+		while (compacted && carryOutOutputs()) {
+			compacted = compactIfDue();
+		}
+	}
+
+	private boolean carryOutOutputs() {
 		Outputs outputs = this.log.takeOutputs();
 		while (!outputs.isEmpty()) {
 			outputs.messages().forEach(this::send);
 			outputs.stateChanges().forEach(this::change);
 			outputs.reads().forEach(this::endRead);
 			if (!outputs.writes().isEmpty() && !makeDurable(outputs)) {
-				return;
+				return false;
 			}
-			compactIfDue();
 			outputs = this.log.takeOutputs();
 		}
+		return true;
 	}
 
 	private boolean makeDurable(Outputs outputs) {
@@ -346,10 +388,17 @@
 		}
 	}
 
-	private void compactIfDue() {
-		if (this.log.isCompactionDue()) {
-			this.log.compact(this.machine.snapshot());
+	/**
+	 * Compacts the log. Only when no output waits: what the log calls applied may else be
+	 * ahead of the state machine.
+	 * @return whether the log was compacted
+	 */
+	private boolean compactIfDue() {
+		if (!this.log.isCompactionDue()) {
+			return false;
 		}
+		this.log.compact(this.machine.snapshot());
+		return true;
 	}
 
 	private void publishStatus() {
--- a/vanillatrestle-daemon/src/test/java/org/vanillatrestle/daemon/internal/operator/FakeGateway.java
+++ b/vanillatrestle-daemon/src/test/java/org/vanillatrestle/daemon/internal/operator/FakeGateway.java
@@ -2,6 +2,7 @@
 
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.RejectedExecutionException;
 import java.util.function.Function;
 
 import org.vanillatrestle.internal.book.BookLimits;
@@ -20,6 +21,8 @@
 
 	private boolean losesAnswers;
 
+	private boolean closed;
+
 	private long index;
 
 	public void setLeaderless(boolean leaderless) {
@@ -30,6 +33,10 @@
 		this.losesAnswers = losesAnswers;
 	}
 
+	public void setClosed(boolean closed) {
+		this.closed = closed;
+	}
+
 	@Override
 	public synchronized CompletableFuture<BookProposal> propose(byte[] command) {
 		if (this.leaderless) {
@@ -51,6 +58,9 @@
 
 	@Override
 	public synchronized <T> CompletableFuture<BookReading<T>> read(Function<ContractBook, T> reader) {
+		if (this.closed) {
+			return CompletableFuture.failedFuture(new RejectedExecutionException("closed"));
+		}
 		return CompletableFuture.completedFuture(
 				new BookReading<>(reader.apply(this.book), !this.leaderless, this.index, this.leaderless ? 5000 : 0));
 	}
--- a/vanillatrestle-daemon/src/test/java/org/vanillatrestle/daemon/internal/operator/OperatorServiceTests.java
+++ b/vanillatrestle-daemon/src/test/java/org/vanillatrestle/daemon/internal/operator/OperatorServiceTests.java
@@ -127,6 +127,12 @@
 		assertThat(send("GET", PATH, "", "").status()).isEqualTo(404);
 	}
 
+	@Test
+	void shouldSayWhenTheBookCannotBeRead() {
+		this.gateway.setClosed(true);
+		assertThat(send("GET", "/v1/contracts", "", "").status()).isEqualTo(503);
+	}
+
 	private OperatorAnswer send(String method, String path, String query, String body) {
 		return this.service.handle(new OperatorRequest(method, path, query, Optional.of("secret-2"), body)).join();
 	}
