--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/peer/Neighbours.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/peer/Neighbours.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
+import java.util.stream.Stream;
 
 import io.netty.util.NetUtil;
 import org.vanillatrestle.DataCentreId;
@@ -71,15 +72,14 @@
 	}
 
 	private void addRemote(DataCentreId dataCentre, List<DataCentreSummary> summaries, Set<InetSocketAddress> needed) {
-		this.seeds.stream()
+		Stream<InetSocketAddress> seeded = this.seeds.stream()
 			.filter((seed) -> seed.dataCentre().equals(dataCentre))
-			.limit(CONTACTS_PER_DATA_CENTRE)
-			.forEach((seed) -> needed.add(seed.address()));
-		summaries.stream()
+			.map(Seed::address);
+		Stream<InetSocketAddress> told = summaries.stream()
 			.filter((summary) -> summary.dataCentre().equals(dataCentre))
 			.flatMap((summary) -> summary.contacts().stream())
-			.limit(CONTACTS_PER_DATA_CENTRE)
-			.forEach((contact) -> address(contact).ifPresent(needed::add));
+			.flatMap((contact) -> address(contact).stream());
+		Stream.concat(told, seeded).distinct().limit(CONTACTS_PER_DATA_CENTRE).forEach(needed::add);
 	}
 
 	/**
--- a/vanillatrestle-wire/src/main/java/org/vanillatrestle/wire/PeerSettings.java
+++ b/vanillatrestle-wire/src/main/java/org/vanillatrestle/wire/PeerSettings.java
@@ -42,7 +42,7 @@
 	 * @return the defaults
 	 */
 	public static PeerSettings defaults() {
-		return new PeerSettings(KIB * KIB, 64 * KIB, 16 * KIB, 4096, 1024, KIB * KIB, 2_000, 6_000, 3_000, 100, 5_000,
+		return new PeerSettings(KIB * KIB, 64 * KIB, 16 * KIB, 4096, 1024, KIB * KIB, 5_000, 12_000, 3_000, 100, 5_000,
 				2_000);
 	}
 
