--- /dev/null
+++ b/vanillatrestle-bench/src/main/java/org/vanillatrestle/bench/internal/log/LocalGroup.java
@@ -0,0 +1,96 @@
+package org.vanillatrestle.bench.internal.log;
+
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.LinkedHashSet;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.LongAdder;
+
+import org.vanillatrestle.VmId;
+import org.vanillatrestle.daemon.internal.replica.ReplicaHost;
+import org.vanillatrestle.daemon.internal.replica.ReplicaSettings;
+import org.vanillatrestle.daemon.internal.storage.FolderFiles;
+import org.vanillatrestle.daemon.internal.storage.LogStorage;
+import org.vanillatrestle.daemon.internal.storage.OpenMode;
+import org.vanillatrestle.internal.log.LogSettings;
+import org.vanillatrestle.internal.log.Role;
+
+/**
+ * A group of replicas in one process, with real files and messages handed over in memory.
+ * <p>
+ * Counts the messages and their bytes. Used by one thread.
+ */
+final class LocalGroup implements AutoCloseable {
+
+	private static final long POLL_MILLIS = 5;
+
+	private final Map<VmId, ReplicaHost> hosts = new ConcurrentHashMap<>();
+
+	private final LongAdder messages = new LongAdder();
+
+	private final LongAdder bytes = new LongAdder();
+
+	private LocalGroup() {
+	}
+
+	static LocalGroup form(Path folder, int size, int batchLimit) throws IOException, InterruptedException {
+		LocalGroup group = new LocalGroup();
+		Set<VmId> vms = new LinkedHashSet<>();
+		for (int i = 1; i <= size; i++) {
+			vms.add(new VmId("vm-" + i));
+		}
+		OpenMode mode = OpenMode.FOUND_GROUP;
+		for (VmId vm : vms) {
+			LogStorage storage = LogStorage.open(new FolderFiles(folder.resolve(vm.value())), vm, mode);
+			group.start(vm, storage, new ReplicaSettings(LogSettings.defaults(), vms, batchLimit, 1 << 16));
+			mode = OpenMode.JOIN_IF_EMPTY;
+		}
+		while (group.leader().status().membership().voters().size() < size) {
+			Thread.sleep(POLL_MILLIS);
+		}
+		return group;
+	}
+
+	private void start(VmId vm, LogStorage storage, ReplicaSettings settings) {
+		ReplicaHost host = new ReplicaHost("Bench-" + vm, storage, new CountingMachine(),
+				(to, message) -> deliver(vm, to, message), settings);
+		this.hosts.put(vm, host);
+		host.start();
+	}
+
+	private void deliver(VmId from, VmId to, byte[] message) {
+		this.messages.increment();
+		this.bytes.add(message.length);
+		ReplicaHost receiver = this.hosts.get(to);
+		if (receiver != null) {
+			receiver.receive(from, message);
+		}
+	}
+
+	ReplicaHost leader() throws InterruptedException {
+		while (true) {
+			for (ReplicaHost host : this.hosts.values()) {
+				if (host.status().role() == Role.LEADER && host.status().leaderlessNanos() == 0) {
+					return host;
+				}
+			}
+			Thread.sleep(POLL_MILLIS);
+		}
+	}
+
+	long messages() {
+		return this.messages.sum();
+	}
+
+	long bytes() {
+		return this.bytes.sum();
+	}
+
+	@Override
+	public void close() {
+		this.hosts.values().forEach(ReplicaHost::close);
+	}
+
+}
--- /dev/null
+++ b/vanillatrestle-bench/src/main/java/org/vanillatrestle/bench/internal/log/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Measures the replicated log.
+ */
+package org.vanillatrestle.bench.internal.log;
