Bound what waits in the replica host, elect the only voter at once

Commands that wait for a quorum could fill a small heap: the bytes of commands that are not acknowledged are bounded, and more are refused as overloaded. A group of one waited for an election timeout at each start for nobody's vote: it leads at once. A follower accepts entries that lie wholly before its log, which are committed, instead of going back one by one. The benchmark measures the time until a replica is ready, not only until its folder is open.

--- a/vanillatrestle-bench/src/main/java/org/vanillatrestle/bench/internal/log/LocalGroup.java
+++ b/vanillatrestle-bench/src/main/java/org/vanillatrestle/bench/internal/log/LocalGroup.java
@@ -24,7 +24,9 @@
  */
 final class LocalGroup implements AutoCloseable {
 
-	private static final long POLL_MILLIS = 5;
+	private static final long POLL_MILLIS = 1;
+
+	private static final int WAITING_BYTES = 16 * 1024 * 1024;
 
 	private final Map<VmId, ReplicaHost> hosts = new ConcurrentHashMap<>();
 
@@ -36,18 +38,35 @@
 	}
 
 	static LocalGroup form(Path folder, int size, int batchLimit) throws IOException, InterruptedException {
-		LocalGroup group = new LocalGroup();
 		Set<VmId> vms = new LinkedHashSet<>();
 		for (int i = 1; i <= size; i++) {
 			vms.add(new VmId("vm-" + i));
 		}
-		OpenMode mode = OpenMode.FOUND_GROUP;
+		return open(folder, vms, batchLimit, OpenMode.FOUND_GROUP);
+	}
+
+	/**
+	 * Starts a group of one again and waits until it is ready.
+	 * @param folder the folder that held it
+	 * @return the group
+	 * @throws IOException if the folder can't be used
+	 * @throws InterruptedException if the thread is interrupted
+	 */
+	static LocalGroup reopen(Path folder) throws IOException, InterruptedException {
+		return open(folder, Set.of(new VmId("vm-1")), 1, OpenMode.MUST_EXIST);
+	}
+
+	private static LocalGroup open(Path folder, Set<VmId> vms, int batchLimit, OpenMode first)
+			throws IOException, InterruptedException {
+		LocalGroup group = new LocalGroup();
+		OpenMode mode = first;
 		for (VmId vm : vms) {
 			LogStorage storage = LogStorage.open(new FolderFiles(folder.resolve(vm.value())), vm, mode);
-			group.start(vm, storage, new ReplicaSettings(LogSettings.defaults(), vms, batchLimit, 1 << 16));
+			group.start(vm, storage,
+					new ReplicaSettings(LogSettings.defaults(), vms, batchLimit, 1 << 16, WAITING_BYTES));
 			mode = OpenMode.JOIN_IF_EMPTY;
 		}
-		while (group.leader().status().membership().voters().size() < size) {
+		while (group.leader().status().membership().voters().size() < vms.size()) {
 			Thread.sleep(POLL_MILLIS);
 		}
 		return group;
--- a/vanillatrestle-bench/src/main/java/org/vanillatrestle/bench/internal/log/LogBenchmark.java
+++ b/vanillatrestle-bench/src/main/java/org/vanillatrestle/bench/internal/log/LogBenchmark.java
@@ -13,11 +13,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.stream.Stream;
 
-import org.vanillatrestle.VmId;
 import org.vanillatrestle.daemon.internal.replica.ProposalOutcome;
-import org.vanillatrestle.daemon.internal.storage.FolderFiles;
-import org.vanillatrestle.daemon.internal.storage.LogStorage;
-import org.vanillatrestle.daemon.internal.storage.OpenMode;
 
 /**
  * Measures the replicated log with real files: throughput and latency with and without
@@ -95,28 +91,28 @@
 	}
 
 	private void recovery() throws IOException, InterruptedException {
-		this.out.println("changes  first ms  best ms  bytes read");
+		this.out.println("changes  first ready ms  best ready ms  bytes read");
 		for (int changes : CHANGES) {
 			Path work = empty("recovery");
 			try (LocalGroup group = LocalGroup.form(work, 1, GROUP_COMMIT)) {
 				write(group, changes);
 			}
-			recovery(work.resolve("vm-1"), changes);
+			recovery(work, changes);
 		}
 	}
 
-	private void recovery(Path work, int changes) throws IOException {
+	private void recovery(Path work, int changes) throws IOException, InterruptedException {
 		List<Double> millis = new ArrayList<>();
 		long bytes = 0;
 		for (int i = 0; i < RECOVERIES; i++) {
 			long began = System.nanoTime();
-			try (LogStorage storage = LogStorage.open(new FolderFiles(work), new VmId("vm-1"), OpenMode.MUST_EXIST)) {
+			try (LocalGroup group = LocalGroup.reopen(work)) {
 				millis.add((System.nanoTime() - began) / NANOS_PER_MILLI);
-				bytes = storage.recoveredBytes();
+				bytes = group.leader().recoveredBytes();
 			}
 		}
 		double best = millis.stream().min(Comparator.naturalOrder()).orElseThrow();
-		print("%7d %9.1f %8.1f %11d", changes, millis.get(0), best, bytes);
+		print("%7d %15.1f %14.1f %11d", changes, millis.get(0), best, bytes);
 	}
 
 	private static void write(LocalGroup group, int changes) throws InterruptedException {
--- a/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/log/Election.java
+++ b/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/log/Election.java
@@ -7,8 +7,9 @@
 /**
  * Elections: a preliminary round that changes nothing, then votes in a new term.
  * <p>
- * One vote for each term, on disk before it is sent or counted. A replica that hears of a
- * leader grants no votes, unless that leader hands over. Not thread safe.
+ * A replica that is the only voter is elected at once. One vote for each term, on disk
+ * before it is sent or counted. A replica that hears of a leader grants no votes, unless
+ * that leader hands over. Not thread safe.
  */
 final class Election {
 
--- a/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/log/EntryReceiver.java
+++ b/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/log/EntryReceiver.java
@@ -5,8 +5,8 @@
 /**
  * The follower's side of replication.
  * <p>
- * Acknowledges only what is synced, and never cuts off a committed entry. Not thread
- * safe.
+ * Acknowledges only what is synced, and never cuts off a committed entry. What lies
+ * before the own log is committed, so a leader has the same. Not thread safe.
  */
 final class EntryReceiver {
 
@@ -39,10 +39,7 @@
 		if (known > own.lastIndex()) {
 			return false;
 		}
-		if (known == request.previousIndex()) {
-			return own.termAt(known) == request.previousTerm();
-		}
-		return known <= request.previousIndex() + request.entries().size();
+		return known > request.previousIndex() || own.termAt(known) == request.previousTerm();
 	}
 
 	private List<LogEntry> withoutKnown(List<LogEntry> entries) {
--- a/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/log/LogState.java
+++ b/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/log/LogState.java
@@ -64,11 +64,18 @@
 		this.nowNanos = nowNanos;
 		this.leaderContactNanos = nowNanos;
 		resetElectionDeadline();
+		if (isOnlyVoter()) {
+			this.electionDeadlineNanos = nowNanos;
+		}
 		if (this.snapshot.lastIndex() > 0) {
 			this.outbox.change(new StateChange.Restore(this.snapshot));
 		}
 	}
 
+	private boolean isOnlyVoter() {
+		return membership().isVoter(this.self) && membership().voters().size() == 1;
+	}
+
 	private Vote atLeastLastTerm(Vote recovered) {
 		long lastTerm = this.entries.lastTerm();
 		return (recovered.term() >= lastTerm) ? recovered : new Vote(lastTerm, Optional.empty());
--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/replica/PendingProposals.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/replica/PendingProposals.java
@@ -17,7 +17,10 @@
 	private final TreeMap<Long, Pending> byIndex = new TreeMap<>();
 
 	void add(Proposal.Appended appended, CompletableFuture<ProposalOutcome> future) {
-		this.byIndex.put(appended.index(), new Pending(appended.term(), future));
+		Pending former = this.byIndex.put(appended.index(), new Pending(appended.term(), future));
+		if (former != null) {
+			former.future().complete(new ProposalOutcome.Unknown("another leader took over"));
+		}
 	}
 
 	void applied(LogEntry entry, byte[] reply) {
--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/replica/ReplicaHost.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/replica/ReplicaHost.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
 
 import org.apache.commons.rng.simple.RandomSource;
 import org.jboss.logging.Logger;
@@ -59,6 +60,8 @@
 
 	private final ReplicatedLog log;
 
+	private final AtomicLong waitingBytes = new AtomicLong();
+
 	private final PendingProposals proposals = new PendingProposals();
 
 	private final Map<Long, CompletableFuture<ReadOutcome>> reads = new HashMap<>();
@@ -135,6 +138,12 @@
 	 */
 	public CompletableFuture<ProposalOutcome> propose(byte[] command) {
 		CompletableFuture<ProposalOutcome> future = new CompletableFuture<>();
+		if (this.waitingBytes.addAndGet(command.length) > this.settings.waitingBytesLimit()) {
+			this.waitingBytes.addAndGet(-command.length);
+			future.complete(new ProposalOutcome.Overloaded());
+			return future;
+		}
+		future.thenRun(() -> this.waitingBytes.addAndGet(-command.length));
 		submit(() -> propose(command, future), () -> future.complete(notTaken()));
 		return future;
 	}
@@ -236,8 +245,9 @@
 
 	private void run() {
 		try (this.storage) {
+			runOnce(0);
 			while (!isClosed()) {
-				runOnce();
+				runOnce(tickNanos());
 			}
 		}
 		catch (IOException ex) {
@@ -267,9 +277,9 @@
 		return handedOver || nowNanos() - this.closeBeganNanos > HANDOVER_NANOS;
 	}
 
-	private void runOnce() throws InterruptedException {
+	private void runOnce(long waitNanos) throws InterruptedException {
 		List<Input> batch = new ArrayList<>();
-		Input first = this.inputs.poll(tickNanos(), TimeUnit.NANOSECONDS);
+		Input first = this.inputs.poll(waitNanos, TimeUnit.NANOSECONDS);
 		if (first != null) {
 			batch.add(first);
 			this.inputs.drainTo(batch, this.settings.batchLimit() - 1);
--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/replica/ReplicaSettings.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/replica/ReplicaSettings.java
@@ -14,13 +14,17 @@
  * @param wantedVoters the VMs that should hold a voter each
  * @param batchLimit the most inputs handled between two syncs
  * @param queueLimit the most inputs that wait
+ * @param waitingBytesLimit the most bytes of commands that are not acknowledged yet
  */
-public record ReplicaSettings(LogSettings log, Set<VmId> wantedVoters, int batchLimit, int queueLimit) {
+public record ReplicaSettings(LogSettings log, Set<VmId> wantedVoters, int batchLimit, int queueLimit,
+		int waitingBytesLimit) {
 
 	private static final int DEFAULT_BATCH = 1024;
 
 	private static final int DEFAULT_QUEUE = 16_384;
 
+	private static final int DEFAULT_WAITING_BYTES = 8 * 1024 * 1024;
+
 	public ReplicaSettings {
 		wantedVoters = Set.copyOf(wantedVoters);
 	}
@@ -31,7 +35,8 @@
 	 * @return settings
 	 */
 	public static ReplicaSettings of(Set<VmId> wantedVoters) {
-		return new ReplicaSettings(LogSettings.defaults(), wantedVoters, DEFAULT_BATCH, DEFAULT_QUEUE);
+		return new ReplicaSettings(LogSettings.defaults(), wantedVoters, DEFAULT_BATCH, DEFAULT_QUEUE,
+				DEFAULT_WAITING_BYTES);
 	}
 
 }
--- a/vanillatrestle-daemon/src/test/java/org/vanillatrestle/daemon/internal/replica/ReplicaHostTests.java
+++ b/vanillatrestle-daemon/src/test/java/org/vanillatrestle/daemon/internal/replica/ReplicaHostTests.java
@@ -141,6 +141,20 @@
 		assertThat(host.remove(host.status().self()).get(20, TimeUnit.SECONDS)).isFalse();
 	}
 
+	@Test
+	void shouldRefuseCommandsBeyondWaitingBytes() throws Exception {
+		ReplicaHost host = start(FIRST, Set.of(FIRST), new FakeFiles(), OpenMode.FOUND_GROUP);
+		await(() -> host.status().role() == Role.LEADER && host.status().leaderlessNanos() == 0);
+		CountDownLatch release = new CountDownLatch(1);
+		this.machines.get(FIRST).holdNextApply(release);
+		CompletableFuture<ProposalOutcome> held = host.propose(new byte[1 << 20]);
+		ProposalOutcome refused = host.propose(new byte[1]).get(20, TimeUnit.SECONDS);
+		release.countDown();
+		assertThat(refused).isInstanceOf(ProposalOutcome.Overloaded.class);
+		assertThat(held.get(20, TimeUnit.SECONDS)).isInstanceOf(ProposalOutcome.Committed.class);
+		await(() -> host.propose(new byte[1]).join() instanceof ProposalOutcome.Committed);
+	}
+
 	@Test
 	void shouldDropMalformedMessagesAndForgedSenders() throws Exception {
 		ReplicaHost host = start(FIRST, Set.of(FIRST), new FakeFiles(), OpenMode.FOUND_GROUP);
@@ -172,7 +186,7 @@
 			}
 		};
 		ReplicaHost host = new ReplicaHost("Test", LogStorage.open(files, vm, mode), machine, transport,
-				new ReplicaSettings(log, wanted, 1024, 4096));
+				new ReplicaSettings(log, wanted, 1024, 4096, 1 << 20));
 		this.machines.put(vm, machine);
 		this.hosts.put(vm, host);
 		host.start();
