--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/Vanillatrestle.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/Vanillatrestle.java
@@ -1,11 +1,13 @@
 package org.vanillatrestle.daemon;
 
 import java.io.PrintStream;
+import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
 
 import org.vanillatrestle.daemon.internal.cli.Command;
 import org.vanillatrestle.daemon.internal.cli.ExitCode;
+import org.vanillatrestle.daemon.internal.cli.OperatorCommands;
 import org.vanillatrestle.daemon.internal.cli.ReplicaFoundCommand;
 import org.vanillatrestle.daemon.internal.cli.RunCommand;
 import org.vanillatrestle.daemon.internal.cli.SettingsCheckCommand;
@@ -30,12 +32,20 @@
 	 */
 	public static final String VERSION = "0.1.0";
 
-	private static final List<Command> COMMANDS = List.of(new RunCommand(), new SettingsCheckCommand(),
-			new ReplicaFoundCommand());
+	private static final List<Command> COMMANDS = commands();
 
 	private Vanillatrestle() {
 	}
 
+	private static List<Command> commands() {
+		List<Command> commands = new ArrayList<>();
+		commands.add(new RunCommand());
+		commands.add(new SettingsCheckCommand());
+		commands.add(new ReplicaFoundCommand());
+		commands.addAll(OperatorCommands.all());
+		return List.copyOf(commands);
+	}
+
 	/**
 	 * Runs the command line and exits.
 	 * @param args the words of the command line
--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/control/ReplicaBookGateway.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/control/ReplicaBookGateway.java
@@ -66,9 +66,8 @@
 
 	@Override
 	public <T> CompletableFuture<BookReading<T>> read(Function<ContractBook, T> reader) {
-		return this.replica.confirmRead()
-			.thenApply((outcome) -> new BookReading<>(reader.apply(this.machine.book()), outcome.latest(),
-					outcome.appliedIndex(), this.replica.status().leaderlessNanos() / NANOS_PER_MILLI));
+		return this.replica.read((outcome) -> new BookReading<>(reader.apply(this.machine.book()), outcome.latest(),
+				outcome.appliedIndex(), this.replica.status().leaderlessNanos() / NANOS_PER_MILLI));
 	}
 
 }
--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/ledger/OnceService.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/ledger/OnceService.java
@@ -4,8 +4,10 @@
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
 import java.util.function.Supplier;
 
+import org.vanillatrestle.OnceKey;
 import org.vanillatrestle.VmId;
 import org.vanillatrestle.daemon.internal.peer.PeerService;
 import org.vanillatrestle.daemon.internal.replica.ProposalOutcome;
@@ -110,21 +112,35 @@
 	}
 
 	private CompletableFuture<byte[]> propose(LedgerPart part, byte[] command) {
-		return part.replica().propose(command).thenCompose((outcome) -> {
-			if (outcome instanceof ProposalOutcome.Committed committed) {
-				return CompletableFuture.completedFuture(committed.reply());
-			}
-			return failed("the ledger gave no outcome: " + outcome);
-		});
+		return part.replica().propose(command).thenCompose(OnceService::replyOf);
+	}
+
+	private static CompletableFuture<byte[]> replyOf(ProposalOutcome outcome) {
+		if (outcome instanceof ProposalOutcome.Committed committed) {
+			return CompletableFuture.completedFuture(committed.reply());
+		}
+		return failed("the ledger gave no outcome: " + outcome);
 	}
 
 	private CompletableFuture<byte[]> claimAndWait(LedgerPart part, byte[] command) {
-		return propose(part, command).thenCompose((reply) -> {
-			if (!isInProgress(reply)) {
-				return CompletableFuture.completedFuture(reply);
-			}
+		return part.replica()
+			.propose(command, (outcome) -> followClaim(part, command, outcome))
+			.thenCompose(Function.identity());
+	}
+
+	/**
+	 * Goes on with a claim's outcome. Runs on the replica's thread if the claim was
+	 * committed, so that the waiters may be used.
+	 * @param part the replica
+	 * @param command the claim
+	 * @param outcome what became of it
+	 * @return the ledger's reply
+	 */
+	private CompletableFuture<byte[]> followClaim(LedgerPart part, byte[] command, ProposalOutcome outcome) {
+		if (outcome instanceof ProposalOutcome.Committed committed && isInProgress(committed.reply())) {
 			return awaitSettled(part, command).thenCompose((settled) -> propose(part, command));
-		});
+		}
+		return replyOf(outcome);
 	}
 
 	private static boolean isInProgress(byte[] reply) {
@@ -154,18 +170,17 @@
 	}
 
 	private CompletableFuture<byte[]> status(LedgerPart part, byte[] key) {
-		return part.replica().confirmRead().thenCompose((outcome) -> {
-			if (!outcome.latest()) {
-				return failed("the ledger can't be read now");
-			}
-			try {
-				return CompletableFuture.completedFuture(
-						LedgerStateCodec.encode(part.machine().ledger().status(LedgerStateCodec.decodeKey(key))));
-			}
-			catch (MalformedStateException ex) {
-				return CompletableFuture.failedFuture(ex);
-			}
-		});
+		try {
+			OnceKey onceKey = LedgerStateCodec.decodeKey(key);
+			return part.replica()
+				.read((outcome) -> outcome.latest()
+						? LedgerStateCodec.encode(part.machine().ledger().status(onceKey)) : null)
+				.thenCompose((status) -> (status != null) ? CompletableFuture.completedFuture(status)
+						: failed("the ledger can't be read now"));
+		}
+		catch (MalformedStateException ex) {
+			return CompletableFuture.failedFuture(ex);
+		}
 	}
 
 	private static CompletableFuture<byte[]> failed(String reason) {
