--- a/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/select/TargetCosts.java
+++ b/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/select/TargetCosts.java
@@ -1,5 +1,7 @@
 package org.vanillatrestle.internal.select;
 
+import java.util.List;
+
 import org.vanillatrestle.Objective;
 import org.vanillatrestle.internal.request.PolicyRequest;
 import org.vanillatrestle.internal.target.Announcement;
@@ -19,17 +21,29 @@
 
 	private static final double DECODE_WEIGHT = 0.25;
 
-	private static final double PRICE_EXPONENT = 4;
-
 	private static final double IDLE_TOKEN_TIME = 0.4;
 
 	private final SelectSettings settings;
 
 	private final long nowNanos;
 
-	TargetCosts(SelectSettings settings, long nowNanos) {
+	private final Candidate preferred;
+
+	private final List<TargetState> holders;
+
+	/**
+	 * Creates the costs for one choice.
+	 * @param settings the settings
+	 * @param nowNanos the monotonic time in nanoseconds
+	 * @param preferred the target to which all VMs send the request's prefix if load
+	 * allows, or {@code null}
+	 * @param holders targets that likely have the request's prefix cached
+	 */
+	TargetCosts(SelectSettings settings, long nowNanos, Candidate preferred, List<TargetState> holders) {
 		this.settings = settings;
 		this.nowNanos = nowNanos;
+		this.preferred = preferred;
+		this.holders = holders;
 	}
 
 	static long referencePrice(Announcement announcement) {
@@ -57,7 +71,7 @@
 			return latency;
 		}
 		double price = (double) (referencePrice(candidate.announcement()) + 1) / (pool.minPriceMicros() + 1);
-		return latency * Math.pow(price, PRICE_EXPONENT);
+		return latency * price * price;
 	}
 
 	double waitNanos(Pool pool, Candidate candidate) {
@@ -66,7 +80,7 @@
 	}
 
 	double firstByteNanos(Pool pool, Candidate candidate, PolicyRequest request) {
-		boolean cached = candidate.state().likelyCached(request.prefixHash());
+		boolean cached = candidate == this.preferred || this.holders.contains(candidate.state());
 		return pool.nanosPerUnit() * units(request, cached) * candidate.state().slowness(this.nowNanos)
 				* (1 + candidate.outstanding() / candidate.slots());
 	}
--- a/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/sendaway/SendAway.java
+++ b/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/sendaway/SendAway.java
@@ -142,14 +142,14 @@
 
 	private double gain(PolicyRequest request, HomeView home, Remote remote, int sharers, long nowNanos) {
 		RegionSummary summary = remote.summary();
+		if (home.hasTargets() && remote.free(sharers, home.pending()) < 1) {
+			return 0;
+		}
 		if (!budget(summary.dataCentre(), nowNanos).has(bytes(request, home.answerTokens()), nowNanos)) {
 			return 0;
 		}
 		if (!home.hasTargets()) {
-			return remote.mayTakeOne(sharers) ? Math.max(1, remote.free(sharers)) : 0;
-		}
-		if (remote.free(sharers) < 1) {
-			return 0;
+			return remote.mayTakeOne(sharers, home.pending()) ? Math.max(1, remote.free(sharers, home.pending())) : 0;
 		}
 		double timeGain = timeGainNanos(home, remote);
 		if (request.objective() == Objective.COST && saves(request, home, remote, sharers)) {
