Add a fault matrix for targets and mend what it found

Change: an event or a chat answer that is not JSON ends the attempt and is not handed on, and another engine is tried.

--- a/vanillatrestle-bench/src/main/java/org/vanillatrestle/bench/internal/load/Exchange.java
+++ b/vanillatrestle-bench/src/main/java/org/vanillatrestle/bench/internal/load/Exchange.java
@@ -27,7 +27,7 @@
 
 	private long lastTokenNanos;
 
-	private boolean ended;
+	private AnswerKind kind;
 
 	Exchange(RequestKind.AnswerCheck check, LoadResult result, long intendedNanos, Consumer<Exchange> onEnd) {
 		this.check = check;
@@ -36,6 +36,22 @@
 		this.onEnd = onEnd;
 	}
 
+	/**
+	 * Returns the head of the answer.
+	 * @return the head, or {@code null} if none has arrived
+	 */
+	HttpResponse head() {
+		return this.head;
+	}
+
+	/**
+	 * Returns how the exchange ended.
+	 * @return the kind, or {@code null} while it goes on
+	 */
+	AnswerKind kind() {
+		return this.kind;
+	}
+
 	void head(HttpResponse response) {
 		this.head = response;
 	}
@@ -75,12 +91,12 @@
 		end(AnswerKind.BROKEN);
 	}
 
-	private void end(AnswerKind kind) {
-		if (this.ended) {
+	private void end(AnswerKind how) {
+		if (this.kind != null) {
 			return;
 		}
-		this.ended = true;
-		this.result.ended(kind);
+		this.kind = how;
+		this.result.ended(how);
 		this.onEnd.accept(this);
 	}
 
--- a/vanillatrestle-bench/src/main/java/org/vanillatrestle/bench/internal/load/StreamCheck.java
+++ b/vanillatrestle-bench/src/main/java/org/vanillatrestle/bench/internal/load/StreamCheck.java
@@ -20,6 +20,8 @@
 
 	private static final String SENT = "\"sent_nanos\":";
 
+	private static final String FINISHED = "\"finish_reason\":\"stop\"";
+
 	private static final int DECIMAL = 10;
 
 	private static final String DONE = "[DONE]";
@@ -32,6 +34,8 @@
 
 	private int tokens;
 
+	private int finishes;
+
 	private long sentNanos;
 
 	private boolean wrong;
@@ -70,6 +74,10 @@
 			this.done = true;
 			return;
 		}
+		this.wrong |= !line.endsWith("}");
+		if (line.contains(FINISHED)) {
+			this.finishes++;
+		}
 		int start = line.indexOf(CONTENT);
 		if (start >= 0) {
 			token(line, start + CONTENT.length());
@@ -100,7 +108,8 @@
 
 	@Override
 	public boolean isWhole() {
-		return this.done && !this.wrong && this.tokens == this.maxTokens && this.pending.isEmpty();
+		return this.done && !this.wrong && this.finishes == 1 && this.tokens == this.maxTokens
+				&& this.pending.isEmpty();
 	}
 
 }
--- /dev/null
+++ b/vanillatrestle-bench/src/test/java/org/vanillatrestle/bench/matrix/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * The fault matrix over the request path.
+ */
+package org.vanillatrestle.bench.matrix;
--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/pipeline/AttemptRun.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/pipeline/AttemptRun.java
@@ -98,6 +98,10 @@
 			giveUp(AttemptOutcome.FAILED, "an event of the stream is too long");
 			return;
 		}
+		if (this.relay instanceof EventStreamRelay stream && stream.isMalformed()) {
+			giveUp(AttemptOutcome.FAILED, "an event of the stream is not JSON");
+			return;
+		}
 		setReading(this.exchange.isWritable());
 	}
 
@@ -107,8 +111,7 @@
 			return;
 		}
 		if (this.relay == null || !this.relay.end()) {
-			this.run.failed(this, AttemptOutcome.FAILED, Verdict.MAY_HAVE_RUN,
-					"the stream ended before its last event");
+			this.run.failed(this, AttemptOutcome.FAILED, Verdict.MAY_HAVE_RUN, "the answer is not whole");
 			return;
 		}
 		this.run.answered(this);
--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/pipeline/BufferedRelay.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/pipeline/BufferedRelay.java
@@ -6,6 +6,7 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
+import org.vanillatrestle.ServiceKind;
 
 /**
  * Collects an answer up to a bound, so that a failed attempt leaves no trace; a longer
@@ -67,10 +68,23 @@
 
 	@Override
 	public boolean end() {
+		if (!this.passing && isMalformed()) {
+			return false;
+		}
 		this.exchange.claim().ifPresentOrElse(this::endClaimed, this::endPlain);
 		return true;
 	}
 
+	/**
+	 * Tells whether a model engine's answer is not JSON. Plain services may answer
+	 * anything.
+	 * @return whether the answer can't be whole
+	 */
+	private boolean isMalformed() {
+		return this.exchange.call().service().kind() == ServiceKind.MODEL && this.head.status() == 200
+				&& !JsonCheck.isWhole(this.buffer.toByteArray());
+	}
+
 	private void endPlain() {
 		if (this.passing) {
 			this.exchange.answerEnd();
--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/pipeline/EventStreamRelay.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/pipeline/EventStreamRelay.java
@@ -7,8 +7,8 @@
 import io.netty.buffer.Unpooled;
 
 /**
- * Hands on a stream of server-sent events, whole events only, and counts them, so that a
- * broken stream can be resumed at its offset.
+ * Hands on a stream of server-sent events, whole events with JSON only, and counts them,
+ * so that a broken stream can be resumed at its offset.
  * <p>
  * The stream is whole only if its last event was {@code [DONE]}. Used on the VM's event
  * loop.
@@ -33,6 +33,8 @@
 
 	private boolean done;
 
+	private boolean malformed;
+
 	private int delivered;
 
 	EventStreamRelay(Exchange exchange, LongSupplier clockNanos) {
@@ -95,6 +97,9 @@
 				continue;
 			}
 			countEvent(this.pending.toString(from, i - from, StandardCharsets.UTF_8).trim());
+			if (this.malformed) {
+				break;
+			}
 			from = blankLineEnd;
 			i = blankLineEnd;
 		}
@@ -118,6 +123,10 @@
 			this.done = true;
 			return;
 		}
+		if (!JsonCheck.isWhole(event.substring(DATA.length()).getBytes(StandardCharsets.UTF_8))) {
+			this.malformed = true;
+			return;
+		}
 		this.delivered++;
 	}
 
@@ -135,6 +144,15 @@
 	public void reset() {
 		this.pending.release();
 		this.pending = Unpooled.EMPTY_BUFFER;
+		this.malformed = false;
+	}
+
+	/**
+	 * Tells whether an event is not JSON. It was not handed on.
+	 * @return whether the stream must be given up
+	 */
+	boolean isMalformed() {
+		return this.malformed;
 	}
 
 	/**
--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/target/TargetClient.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/target/TargetClient.java
@@ -3,6 +3,7 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 
 import io.netty.bootstrap.Bootstrap;
@@ -126,8 +127,9 @@
 	@Override
 	public void close() {
 		this.closed = true;
-		this.idle.values().forEach((channels) -> channels.forEach(Channel::close));
+		List<Channel> channels = this.idle.values().stream().flatMap(Deque::stream).toList();
 		this.idle.clear();
+		channels.forEach(Channel::close);
 	}
 
 }
