--- a/vanillatrestle-bench/src/main/java/org/vanillatrestle/bench/Bench.java
+++ b/vanillatrestle-bench/src/main/java/org/vanillatrestle/bench/Bench.java
@@ -5,6 +5,7 @@
 import java.util.List;
 
 import org.apache.commons.cli.ParseException;
+import org.vanillatrestle.bench.internal.command.DemoCommand;
 import org.vanillatrestle.bench.internal.command.EngineCommand;
 import org.vanillatrestle.bench.internal.command.LatencyCommand;
 import org.vanillatrestle.bench.internal.command.LoadCommand;
@@ -19,7 +20,7 @@
 public final class Bench {
 
 	private static final List<BenchCommand> COMMANDS = List.of(new EngineCommand(), new ServiceCommand(),
-			new LoadCommand(), new SettingsCommand(), new LatencyCommand());
+			new LoadCommand(), new SettingsCommand(), new LatencyCommand(), new DemoCommand());
 
 	private Bench() {
 	}
--- /dev/null
+++ b/vanillatrestle-bench/src/main/java/org/vanillatrestle/bench/internal/demo/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * The demonstration of a small deployment.
+ */
+package org.vanillatrestle.bench.internal.demo;
--- a/vanillatrestle-bench/src/main/java/org/vanillatrestle/bench/internal/deployment/Deployment.java
+++ b/vanillatrestle-bench/src/main/java/org/vanillatrestle/bench/internal/deployment/Deployment.java
@@ -26,8 +26,14 @@
 
 	private static final long POLL_MILLIS = 50;
 
+	private static final long FOUND_MILLIS = 20_000;
+
+	private static final Duration OPERATOR_TIMEOUT = Duration.ofSeconds(10);
+
 	private static final int STATUS_OK = 200;
 
+	private static final int SERVER_ERROR = 500;
+
 	private final DeploymentPlan plan;
 
 	private final Path folder;
@@ -73,10 +79,8 @@
 	 * @throws IOException if the process can't be started
 	 */
 	public synchronized void start(VmPlan vm) throws IOException {
-		Path log = this.folder.resolve(vm.vm() + ".log");
-		Path settings = DeploymentPlan.settingsFile(this.folder, vm);
 		this.processes.put(vm.vm(),
-				JavaProcess.start(log, this.options, MAIN_CLASS, List.of("run", "--settings", settings.toString())));
+				JavaProcess.start(log(vm), this.options, MAIN_CLASS, List.of("run", "--settings", settings(vm))));
 	}
 
 	/**
@@ -126,7 +130,65 @@
 	}
 
 	/**
-	 * Puts a contract to a VM.
+	 * Founds the contract book and the once ledgers, before the first start.
+	 * @throws IOException if a process can't be started or fails
+	 * @throws InterruptedException if the wait is interrupted
+	 */
+	public void found() throws IOException, InterruptedException {
+		Map<VmPlan, JavaProcess> running = new LinkedHashMap<>();
+		for (VmPlan vm : this.plan.vms()) {
+			if (vm.needsDisk()) {
+				running.put(vm, JavaProcess.start(log(vm), this.options, MAIN_CLASS,
+						List.of("replica", "found", "--settings", settings(vm))));
+			}
+		}
+		for (Map.Entry<VmPlan, JavaProcess> entry : running.entrySet()) {
+			if (!entry.getValue().await(FOUND_MILLIS) || entry.getValue().exitCode() != 0) {
+				throw new IOException("founding failed; see " + log(entry.getKey()));
+			}
+		}
+	}
+
+	/**
+	 * Puts a contract to the contract book and goes on until it is known to be in force.
+	 * @param customer the contract's customer
+	 * @param contract the contract
+	 * @param maxMillis the longest to go on
+	 * @return the answer that said so, or the last other one
+	 * @throws IOException if no VM has answered in time
+	 * @throws InterruptedException if the wait is interrupted
+	 */
+	public HttpResponse<String> apply(String customer, String contract, long maxMillis)
+			throws IOException, InterruptedException {
+		long deadlineNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(maxMillis);
+		HttpResponse<String> last = null;
+		while (System.nanoTime() - deadlineNanos < 0) {
+			for (VmPlan vm : this.plan.vms()) {
+				last = vm.needsDisk() ? put(vm, customer, contract, last) : last;
+				if (last != null && last.statusCode() < SERVER_ERROR) {
+					return last;
+				}
+			}
+			Thread.sleep(POLL_MILLIS);
+		}
+		if (last == null) {
+			throw new IOException("no VM of the contract book answers");
+		}
+		return last;
+	}
+
+	private HttpResponse<String> put(VmPlan vm, String customer, String contract, HttpResponse<String> otherwise)
+			throws InterruptedException {
+		try {
+			return apply(vm, customer, contract);
+		}
+		catch (IOException ex) {
+			return otherwise;
+		}
+	}
+
+	/**
+	 * Puts a contract to one VM.
 	 * @param vm the VM
 	 * @param customer the contract's customer
 	 * @param contract the contract
@@ -136,13 +198,35 @@
 	 */
 	public HttpResponse<String> apply(VmPlan vm, String customer, String contract)
 			throws IOException, InterruptedException {
-		HttpRequest request = HttpRequest.newBuilder(URI.create("http://" + vm.http() + "/v1/contracts/" + customer))
-			.timeout(Duration.ofSeconds(15))
-			.header("Authorization", "Bearer " + this.plan.operatorKey())
-			.header("Content-Type", "application/json")
+		return this.client.send(operator(vm, "/v1/contracts/" + customer).header("Content-Type", "application/json")
 			.PUT(HttpRequest.BodyPublishers.ofString(contract))
-			.build();
-		return this.client.send(request, HttpResponse.BodyHandlers.ofString());
+			.build(), HttpResponse.BodyHandlers.ofString());
+	}
+
+	/**
+	 * Reads a path as the operator.
+	 * @param vm the VM
+	 * @param path the path
+	 * @return the answer
+	 * @throws IOException if no answer arrives
+	 * @throws InterruptedException if the wait is interrupted
+	 */
+	public HttpResponse<String> get(VmPlan vm, String path) throws IOException, InterruptedException {
+		return this.client.send(operator(vm, path).build(), HttpResponse.BodyHandlers.ofString());
+	}
+
+	private HttpRequest.Builder operator(VmPlan vm, String path) {
+		return HttpRequest.newBuilder(URI.create("http://" + vm.http() + path))
+			.timeout(OPERATOR_TIMEOUT)
+			.header("Authorization", "Bearer " + this.plan.operatorKey());
+	}
+
+	private Path log(VmPlan vm) {
+		return this.folder.resolve(vm.vm() + ".log");
+	}
+
+	private String settings(VmPlan vm) {
+		return DeploymentPlan.settingsFile(this.folder, vm).toString();
 	}
 
 	/**
