--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/control/BookMachine.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/control/BookMachine.java
@@ -2,25 +2,20 @@
 
 import java.util.function.Consumer;
 
-import org.jboss.logging.Logger;
 import org.vanillatrestle.internal.book.BookLimits;
 import org.vanillatrestle.internal.book.BookPage;
 import org.vanillatrestle.internal.book.ContractBook;
 import org.vanillatrestle.internal.log.StateMachine;
-import org.vanillatrestle.wire.BookCommandCodec;
-import org.vanillatrestle.wire.BookStateCodec;
-import org.vanillatrestle.wire.MalformedStateException;
+import org.vanillatrestle.wire.BookStateMachine;
 
 /**
- * The contract book as the state machine of a replicated log.
+ * The contract book of a replica, which hands each change on as a page.
  * <p>
- * Used by the replica's thread alone. Each change is handed on as a page.
+ * Used by the replica's thread alone.
  */
 final class BookMachine implements StateMachine {
 
-	private static final Logger logger = Logger.getLogger(BookMachine.class);
-
-	private final ContractBook book = new ContractBook(BookLimits.DEFAULT);
+	private final BookStateMachine machine = new BookStateMachine(new ContractBook(BookLimits.DEFAULT));
 
 	private final Consumer<BookPage> changes;
 
@@ -35,42 +30,31 @@
 	}
 
 	ContractBook book() {
-		return this.book;
+		return this.machine.book();
 	}
 
 	@Override
 	public byte[] apply(long index, byte[] command) {
-		try {
-			byte[] reply = BookCommandCodec.encode(this.book.apply(index, BookCommandCodec.decodeCommand(command)));
-			tellChanges();
-			return reply;
-		}
-		catch (MalformedStateException ex) {
-			logger.errorf("Book: the command at index %d can't be read and changes nothing.", index);
-			return new byte[0];
-		}
+		byte[] reply = this.machine.apply(index, command);
+		tellChanges();
+		return reply;
 	}
 
 	@Override
 	public byte[] snapshot() {
-		return BookStateCodec.encode(this.book.snapshot());
+		return this.machine.snapshot();
 	}
 
 	@Override
 	public void restore(long index, byte[] snapshot) {
-		try {
-			this.book.restore(BookStateCodec.decodeSnapshot(snapshot));
-			tellChanges();
-		}
-		catch (MalformedStateException ex) {
-			throw new IllegalStateException("The snapshot of the contract book can't be read.", ex);
-		}
+		this.machine.restore(index, snapshot);
+		tellChanges();
 	}
 
 	private void tellChanges() {
-		if (this.book.changeIndex() > this.toldIndex) {
-			BookPage page = this.book.entriesAfter(this.toldIndex, Integer.MAX_VALUE);
-			this.toldIndex = this.book.changeIndex();
+		if (book().changeIndex() > this.toldIndex) {
+			BookPage page = book().entriesAfter(this.toldIndex, Integer.MAX_VALUE);
+			this.toldIndex = book().changeIndex();
 			this.changes.accept(page);
 		}
 	}
--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/ledger/LedgerMachine.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/ledger/LedgerMachine.java
@@ -1,14 +1,11 @@
 package org.vanillatrestle.daemon.internal.ledger;
 
-import org.jboss.logging.Logger;
 import org.vanillatrestle.DataCentreId;
 import org.vanillatrestle.internal.log.StateMachine;
 import org.vanillatrestle.internal.once.LedgerLimits;
 import org.vanillatrestle.internal.once.OnceLedger;
 import org.vanillatrestle.internal.once.OnceWaiters;
-import org.vanillatrestle.wire.LedgerCommandCodec;
-import org.vanillatrestle.wire.LedgerStateCodec;
-import org.vanillatrestle.wire.MalformedStateException;
+import org.vanillatrestle.wire.LedgerStateMachine;
 
 /**
  * The once ledger as the state machine of a replicated log, with the resends that wait on
@@ -18,22 +15,20 @@
  */
 final class LedgerMachine implements StateMachine {
 
-	private static final Logger logger = Logger.getLogger(LedgerMachine.class);
-
 	private static final int MAX_WAITERS = 4_096;
 
 	private final OnceWaiters waiters = new OnceWaiters(MAX_WAITERS);
 
-	private final OnceLedger ledger;
+	private final LedgerStateMachine machine;
 
 	private volatile String issuedPrefix;
 
 	LedgerMachine(DataCentreId dataCentre) {
-		this.ledger = new OnceLedger(dataCentre, LedgerLimits.DEFAULT, this.waiters);
+		this.machine = new LedgerStateMachine(new OnceLedger(dataCentre, LedgerLimits.DEFAULT, this.waiters));
 	}
 
 	OnceLedger ledger() {
-		return this.ledger;
+		return this.machine.ledger();
 	}
 
 	OnceWaiters waiters() {
@@ -50,33 +45,25 @@
 
 	@Override
 	public byte[] apply(long index, byte[] command) {
-		try {
-			byte[] reply = LedgerCommandCodec
-				.encode(this.ledger.apply(index, LedgerCommandCodec.decodeCommand(command)));
-			this.issuedPrefix = this.ledger.issuedPrefix().orElse(null);
-			return reply;
-		}
-		catch (MalformedStateException ex) {
-			logger.errorf("Ledger: the command at index %d can't be read and changes nothing.", index);
-			return new byte[0];
-		}
+		byte[] reply = this.machine.apply(index, command);
+		publishPrefix();
+		return reply;
 	}
 
 	@Override
 	public byte[] snapshot() {
-		return LedgerStateCodec.encode(this.ledger.snapshot());
+		return this.machine.snapshot();
 	}
 
 	@Override
 	public void restore(long index, byte[] snapshot) {
-		try {
-			this.ledger.restore(LedgerStateCodec.decodeSnapshot(snapshot));
-			this.issuedPrefix = this.ledger.issuedPrefix().orElse(null);
-			this.waiters.settleAll();
-		}
-		catch (MalformedStateException ex) {
-			throw new IllegalStateException("The snapshot of the once ledger can't be read.", ex);
-		}
+		this.machine.restore(index, snapshot);
+		publishPrefix();
+		this.waiters.settleAll();
+	}
+
+	private void publishPrefix() {
+		this.issuedPrefix = ledger().issuedPrefix().orElse(null);
 	}
 
 }
--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/ledger/OnceService.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/ledger/OnceService.java
@@ -173,8 +173,8 @@
 		try {
 			OnceKey onceKey = LedgerStateCodec.decodeKey(key);
 			return part.replica()
-				.read((outcome) -> outcome.latest()
-						? LedgerStateCodec.encode(part.machine().ledger().status(onceKey)) : null)
+				.read((outcome) -> outcome.latest() ? LedgerStateCodec.encode(part.machine().ledger().status(onceKey))
+						: null)
 				.thenCompose((status) -> (status != null) ? CompletableFuture.completedFuture(status)
 						: failed("the ledger can't be read now"));
 		}
