Let a follower begin anew when the VM that was farthest is gone

Cause: after a page of a VM at index 100 was staged and that VM was lost, pages of the others at index 90 were dropped as stale, so a fresh VM in a region that was cut off could stay without contracts. Change: such a page begins the staging anew.

--- a/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/book/BookFollower.java
+++ b/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/book/BookFollower.java
@@ -10,8 +10,9 @@
  * The view's index never falls, a customer's contract is never replaced by an earlier
  * one, and pages that were lost, repeated or reordered do no harm. A copy that is told of
  * the index {@code n} has every change up to {@code n} in force. Pages are staged until
- * one is complete, so that a copy which is half fetched is never seen. All methods but
- * {@link #view()} must be called by one thread at a time.
+ * one is complete, so that a copy which is half fetched is never seen. A page of a VM
+ * that is less far than the one whose pages are staged begins the staging anew, as that
+ * VM may be gone. All methods but {@link #view()} must be called by one thread at a time.
  */
 public final class BookFollower implements BookSource {
 
@@ -52,9 +53,12 @@
 	 * @return what became of it
 	 */
 	public Intake accept(BookPage page) {
-		if (page.sourceIndex() <= changeIndex() || page.sourceIndex() < this.stagedSourceIndex) {
+		if (page.sourceIndex() <= changeIndex()) {
 			return Intake.STALE;
 		}
+		if (page.sourceIndex() < this.stagedSourceIndex) {
+			dropStaged();
+		}
 		if (page.afterIndex() > this.cursor) {
 			return Intake.GAP;
 		}
@@ -68,11 +72,7 @@
 		return Intake.IN_FORCE;
 	}
 
-	/**
-	 * Forgets pages that are not yet in force, for example because the VM that gave them
-	 * is gone and no other is as far ahead.
-	 */
-	public void dropStaged() {
+	private void dropStaged() {
 		this.staged.clear();
 		this.stagedSourceIndex = 0;
 		this.cursor = changeIndex();
--- a/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/once/LedgerCommand.java
+++ b/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/once/LedgerCommand.java
@@ -33,10 +33,11 @@
 	}
 
 	/**
-	 * Tells that time went by, as measured by the leader's monotonic clock.
+	 * Tells that time went by, as measured by the leader's monotonic clock. The leader
+	 * must have led in one term over the whole time, lest time be counted twice.
 	 *
-	 * @param elapsedMillis the time since the leader's last tick or since it became
-	 * leader, in milliseconds
+	 * @param elapsedMillis the time since the leader's last tick in this term, in
+	 * milliseconds
 	 */
 	record Tick(long elapsedMillis) implements LedgerCommand {
 	}
--- /dev/null
+++ b/vanillatrestle-core/src/test/java/org/vanillatrestle/internal/book/BookFollowerTests.java
@@ -0,0 +1,81 @@
+package org.vanillatrestle.internal.book;
+
+import java.util.List;
+
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.vanillatrestle.CustomerId;
+import org.vanillatrestle.internal.book.BookFollower.Intake;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatIllegalArgumentException;
+
+/**
+ * Tests for {@link BookFollower}.
+ */
+class BookFollowerTests {
+
+	private final ContractBook book = new ContractBook(BookLimits.DEFAULT);
+
+	private final BookFollower follower = new BookFollower();
+
+	@BeforeEach
+	void fillBook() {
+		for (int i = 1; i <= 4; i++) {
+			this.book.apply(i, ContractDocuments.apply("asha", "team-" + i, 1, 1));
+		}
+	}
+
+	@Test
+	void shouldShowNothingOfAnIncompleteTransfer() {
+		assertThat(this.follower.accept(this.book.entriesAfter(0, 1))).isEqualTo(Intake.STAGED);
+		assertThat(this.follower.view().size()).isZero();
+		assertThat(this.follower.nextPullIndex()).isEqualTo(1);
+		assertThat(this.follower.accept(this.book.entriesAfter(1, Integer.MAX_VALUE))).isEqualTo(Intake.IN_FORCE);
+		assertThat(this.follower.view().size()).isEqualTo(4);
+		assertThat(this.follower.changeIndex()).isEqualTo(4);
+	}
+
+	@Test
+	void shouldBeginAnewFromAVmThatIsLessFarWhenTheFarthestIsGone() {
+		BookFollower behind = new BookFollower();
+		behind.accept(this.book.entriesAfter(0, Integer.MAX_VALUE));
+		this.book.apply(5, ContractDocuments.apply("asha", "team-5", 1, 1));
+		assertThat(this.follower.accept(this.book.entriesAfter(0, 1))).isEqualTo(Intake.STAGED);
+		BookPage next = behind.entriesAfter(this.follower.nextPullIndex(), Integer.MAX_VALUE);
+		assertThat(this.follower.accept(next)).isEqualTo(Intake.GAP);
+		next = behind.entriesAfter(this.follower.nextPullIndex(), Integer.MAX_VALUE);
+		assertThat(this.follower.accept(next)).isEqualTo(Intake.IN_FORCE);
+		assertThat(this.follower.changeIndex()).isEqualTo(4);
+	}
+
+	@Test
+	void shouldSendWhoeverIsBehindEachContractOnce() {
+		this.book.apply(5, ContractDocuments.apply("asha", "team-1", 2, 2));
+		this.book.apply(6, ContractDocuments.remove("asha", "team-2", 2));
+		BookPage page = this.book.entriesAfter(0, Integer.MAX_VALUE);
+		assertThat(page.entries()).extracting(BookEntry::index).containsExactly(3L, 4L, 5L, 6L);
+		this.follower.accept(page);
+		assertThat(this.follower.view().contract(new CustomerId("team-2"))).isEmpty();
+		assertThat(this.follower.view().lookup(ContractDocuments.key("team-1")).orElseThrow().contract().revision())
+			.isEqualTo(2);
+		assertThat(this.follower.view().lookup(ContractDocuments.key("team-2"))).isEmpty();
+		assertThat(this.follower.view().lookup("")).isEmpty();
+	}
+
+	@Test
+	void shouldDropPagesThatTellNothingNew() {
+		BookPage page = this.book.entriesAfter(0, Integer.MAX_VALUE);
+		this.follower.accept(page);
+		assertThat(this.follower.accept(page)).isEqualTo(Intake.STALE);
+		assertThat(this.follower.accept(new BookPage(0, List.of(), 0, true))).isEqualTo(Intake.STALE);
+	}
+
+	@Test
+	void shouldRefusePagesWhoseEntriesDoNotAscend() {
+		List<BookEntry> entries = List.of(BookEntry.removal(2, new CustomerId("a"), 1),
+				BookEntry.removal(1, new CustomerId("b"), 1));
+		assertThatIllegalArgumentException().isThrownBy(() -> new BookPage(0, entries, 2, true));
+	}
+
+}
