Tune price, affinity and sending away by measurement

Change: the price counts with exponent 2 (was 4); the target that ranks first by rendezvous hashing counts as cached; sending away for the price needs 30% saving and a remote use below 40%; sending away for time begins at 30 ms gain (was 200 ms); four attempts (was three).

--- a/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/retry/RetrySettings.java
+++ b/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/retry/RetrySettings.java
@@ -17,6 +17,6 @@
 	/**
 	 * The defaults.
 	 */
-	public static final RetrySettings DEFAULTS = new RetrySettings(3, 10, 20, 10_000_000, 1_000_000_000);
+	public static final RetrySettings DEFAULTS = new RetrySettings(4, 10, 20, 10_000_000, 1_000_000_000);
 
 }
--- a/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/select/TargetCosts.java
+++ b/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/select/TargetCosts.java
@@ -19,7 +19,7 @@
 
 	private static final double DECODE_WEIGHT = 0.25;
 
-	private static final double PRICE_EXPONENT = 4;
+	private static final double PRICE_EXPONENT = 2;
 
 	private static final double IDLE_TOKEN_TIME = 0.4;
 
@@ -27,9 +27,19 @@
 
 	private final long nowNanos;
 
-	TargetCosts(SelectSettings settings, long nowNanos) {
+	private final Candidate preferred;
+
+	/**
+	 * Creates the costs for one choice.
+	 * @param settings the settings
+	 * @param nowNanos the monotonic time in nanoseconds
+	 * @param preferred the target to which all VMs send the request's prefix if load
+	 * allows, or {@code null}
+	 */
+	TargetCosts(SelectSettings settings, long nowNanos, Candidate preferred) {
 		this.settings = settings;
 		this.nowNanos = nowNanos;
+		this.preferred = preferred;
 	}
 
 	static long referencePrice(Announcement announcement) {
@@ -66,7 +76,7 @@
 	}
 
 	double firstByteNanos(Pool pool, Candidate candidate, PolicyRequest request) {
-		boolean cached = candidate.state().likelyCached(request.prefixHash());
+		boolean cached = candidate == this.preferred || candidate.state().likelyCached(request.prefixHash());
 		return pool.nanosPerUnit() * units(request, cached) * candidate.state().slowness(this.nowNanos)
 				* (1 + candidate.outstanding() / candidate.slots());
 	}
--- a/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/select/TargetSelector.java
+++ b/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/select/TargetSelector.java
@@ -85,8 +85,8 @@
 			return Optional.empty();
 		}
 		List<Candidate> usable = usable(untried);
-		Candidate chosen = this.settings.mode()
-			.choose(pool, usable, request, new TargetCosts(this.settings, nowNanos), this.random);
+		TargetCosts costs = new TargetCosts(this.settings, nowNanos, Rendezvous.first(request.prefixHash(), untried));
+		Candidate chosen = this.settings.mode().choose(pool, usable, request, costs, this.random);
 		return Optional.of(chosen.announcement());
 	}
 
--- a/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/sendaway/SendAwaySettings.java
+++ b/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/sendaway/SendAwaySettings.java
@@ -20,7 +20,7 @@
 	/**
 	 * The defaults.
 	 */
-	public static final SendAwaySettings DEFAULTS = new SendAwaySettings(200_000_000, 50_000_000, 15, 5, 60,
-			5_000_000_000L, 1_000_000_000);
+	public static final SendAwaySettings DEFAULTS = new SendAwaySettings(30_000_000, 0, 30, 15, 40, 5_000_000_000L,
+			1_000_000_000);
 
 }
