--- a/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/policy/RequestPolicy.java
+++ b/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/policy/RequestPolicy.java
@@ -280,7 +280,8 @@
 		}
 		if (mayForward && !request.forwarded()) {
 			int waiting = waiting(request.pool());
-			Optional<RegionSummary> away = this.sendAway.choose(request, home(request, pool, waiting),
+			int pending = Math.max(0, admitted(request.pool()) - 1);
+			Optional<RegionSummary> away = this.sendAway.choose(request, home(request, pool, waiting, pending),
 					this.selector.peers() + 1, nowNanos);
 			if (away.isPresent()) {
 				return new Placement.Forward(away.get().region(), away.get().dataCentre());
@@ -441,17 +442,23 @@
 			return false;
 		}
 		int waiting = state.queue.queue().size() + state.queue.admitted();
-		return this.sendAway.choose(request, home(request, pool, waiting), this.selector.peers() + 1, nowNanos)
+		return this.sendAway
+			.choose(request, home(request, pool, waiting, state.queue.admitted()), this.selector.peers() + 1, nowNanos)
 			.isPresent();
 	}
 
-	private HomeView home(PolicyRequest request, Pool pool, int waiting) {
+	private HomeView home(PolicyRequest request, Pool pool, int waiting, int pending) {
 		int sharers = this.selector.peers() + 1;
 		long waitNanos = pool.waitNanos(waiting * (double) sharers);
 		long coldNanos = (request.prefixHash() != 0) ? pool.coldNanos(request.promptTokens()) : 0;
 		double tokens = request.promptTokens() + pool.answerTokens();
 		double costMicros = pool.cheapestPerRequestMicros() + pool.cheapestPerThousandTokensMicros() * tokens / 1_000;
-		return new HomeView(!pool.isEmpty(), waitNanos, (long) costMicros, coldNanos, pool.answerTokens());
+		return new HomeView(!pool.isEmpty(), waitNanos, (long) costMicros, coldNanos, pool.answerTokens(), pending);
+	}
+
+	private int admitted(PoolKey key) {
+		PoolState state = this.pools.get(key);
+		return (state != null) ? state.queue.admitted() : 0;
 	}
 
 	private int waiting(PoolKey key) {
--- a/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/sendaway/HomeView.java
+++ b/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/sendaway/HomeView.java
@@ -11,7 +11,9 @@
  * currency
  * @param coldNanos time lost where the prompt's prefix is not cached, in nanoseconds
  * @param answerTokens usual tokens of an answer
+ * @param pending other requests that were let through and are not placed yet
  */
-public record HomeView(boolean hasTargets, long waitNanos, long costMicros, long coldNanos, double answerTokens) {
+public record HomeView(boolean hasTargets, long waitNanos, long costMicros, long coldNanos, double answerTokens,
+		int pending) {
 
 }
--- a/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/sendaway/Remote.java
+++ b/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/sendaway/Remote.java
@@ -37,14 +37,15 @@
 	/**
 	 * Returns this VM's part of the free slots, since its peers see the same summary.
 	 * @param sharers the VMs that share them, this one included
+	 * @param pending requests of this VM that may be sent there before
 	 * @return requests
 	 */
-	double free(int sharers) {
-		return (double) this.summary.freeSlots() / sharers - this.sentSince;
+	double free(int sharers, int pending) {
+		return (double) this.summary.freeSlots() / sharers - this.sentSince - pending;
 	}
 
-	boolean mayTakeOne(int sharers) {
-		return free(sharers) >= 1 || (this.summary.freeSlots() >= 1 && this.sentSince == 0);
+	boolean mayTakeOne(int sharers, int pending) {
+		return free(sharers, pending) >= 1 || (this.summary.freeSlots() >= 1 && this.sentSince == 0 && pending == 0);
 	}
 
 	boolean usedBelow(int percent, int sharers) {
--- a/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/sendaway/SendAway.java
+++ b/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/sendaway/SendAway.java
@@ -146,9 +146,9 @@
 			return 0;
 		}
 		if (!home.hasTargets()) {
-			return remote.mayTakeOne(sharers) ? Math.max(1, remote.free(sharers)) : 0;
+			return remote.mayTakeOne(sharers, home.pending()) ? Math.max(1, remote.free(sharers, home.pending())) : 0;
 		}
-		if (remote.free(sharers) < 1) {
+		if (remote.free(sharers, home.pending()) < 1) {
 			return 0;
 		}
 		double timeGain = timeGainNanos(home, remote);
