Split the facade and decide faster

Change: Dispatcher holds the queues; a pool is refreshed once for a request; slowness decays without a power; the loss of a cold prefix counts 40% (was 100%).

--- a/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/policy/RequestPolicy.java
+++ b/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/policy/RequestPolicy.java
@@ -1,8 +1,5 @@
 package org.vanillatrestle.internal.policy;
 
-import java.util.ArrayList;
-import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -17,7 +14,6 @@
 import org.vanillatrestle.Verdict;
 import org.vanillatrestle.VmId;
 import org.vanillatrestle.internal.admission.LimitGates;
-import org.vanillatrestle.internal.admission.PoolQueue;
 import org.vanillatrestle.internal.cost.CostAccount;
 import org.vanillatrestle.internal.limits.AddressedLimitMessage;
 import org.vanillatrestle.internal.limits.LimitMessage;
@@ -28,7 +24,6 @@
 import org.vanillatrestle.internal.request.AttemptOutcome;
 import org.vanillatrestle.internal.request.Placement;
 import org.vanillatrestle.internal.request.PolicyRequest;
-import org.vanillatrestle.internal.request.PoolKey;
 import org.vanillatrestle.internal.request.ReadyTicket;
 import org.vanillatrestle.internal.request.RefusalReason;
 import org.vanillatrestle.internal.request.RegionSummary;
@@ -36,7 +31,6 @@
 import org.vanillatrestle.internal.retry.RetryPolicy;
 import org.vanillatrestle.internal.select.Pool;
 import org.vanillatrestle.internal.select.TargetSelector;
-import org.vanillatrestle.internal.sendaway.HomeView;
 import org.vanillatrestle.internal.sendaway.SendAway;
 import org.vanillatrestle.internal.target.Announcement;
 import org.vanillatrestle.internal.target.TargetRegistry;
@@ -60,8 +54,6 @@
 
 	private final DataCentreId dataCentre;
 
-	private final PolicySettings settings;
-
 	private final LimitShares shares;
 
 	private final LimitGates gates;
@@ -74,7 +66,7 @@
 
 	private final CostAccount costs = new CostAccount();
 
-	private final Map<PoolKey, PoolState> pools = new HashMap<>();
+	private final Dispatcher dispatcher;
 
 	private long limitTickNanos;
 
@@ -90,7 +82,6 @@
 	 */
 	public RequestPolicy(PolicySettings settings, RegionId region, DataCentreId dataCentre, VmId self,
 			TargetRegistry registry, UniformRandomProvider random, long nowNanos) {
-		this.settings = settings;
 		this.region = region;
 		this.dataCentre = dataCentre;
 		LimitParties parties = (settings.parties() != null) ? settings.parties()
@@ -99,6 +90,7 @@
 		this.gates = new LimitGates(this.shares);
 		this.selector = new TargetSelector(settings.select(), registry, random);
 		this.sendAway = new SendAway(settings.sendAway(), settings.links(), settings.defaultLink());
+		this.dispatcher = new Dispatcher(settings.admission(), this.selector, this.sendAway);
 		this.retries = new RetryPolicy(settings.retry(), random);
 		this.limitTickNanos = nowNanos;
 	}
@@ -192,27 +184,13 @@
 			this.sendAway.arrived(request);
 		}
 		this.retries.arrived(request);
-		Admission admission = queueOrStart(new Ticket(request, nowNanos), nowNanos);
+		Admission admission = this.dispatcher.queueOrStart(new Ticket(request, nowNanos), nowNanos);
 		if (admission instanceof Admission.Refused && !request.forwarded()) {
 			this.gates.end(request, request.countedTokens());
 		}
 		return admission;
 	}
 
-	private Admission queueOrStart(Ticket ticket, long nowNanos) {
-		PolicyRequest request = ticket.request();
-		Pool pool = this.selector.pool(request.pool(), nowNanos);
-		PoolState state = this.pools.computeIfAbsent(request.pool(), (key) -> new PoolState(this.settings));
-		if (state.queue.queue().isEmpty() && canStart(request, pool, state, nowNanos)) {
-			state.queue.admit(ticket);
-			return new Admission.Admitted(ticket);
-		}
-		if (!pool.wasSeen()) {
-			return new Admission.Refused(RefusalReason.NO_TARGET, RETRY_MILLIS);
-		}
-		return state.queue.offer(ticket, drain(pool), nowNanos);
-	}
-
 	/**
 	 * Decides when a request may be placed again after a failed attempt; its limits stay
 	 * taken.
@@ -222,8 +200,11 @@
 	 * ticket
 	 */
 	public Admission again(Ticket ticket, long nowNanos) {
-		ticket.stage(Ticket.Stage.QUEUED);
-		return queueOrStart(ticket, nowNanos);
+		if (ticket.stage() == Ticket.Stage.RELEASED) {
+			return new Admission.Refused(RefusalReason.DEADLINE, RETRY_MILLIS);
+		}
+		this.dispatcher.leave(ticket, Ticket.Stage.QUEUED);
+		return this.dispatcher.queueOrStart(ticket, nowNanos);
 	}
 
 	/**
@@ -233,17 +214,7 @@
 	 * @return the tickets to place and those given up
 	 */
 	public List<ReadyTicket> ready(long nowNanos) {
-		List<ReadyTicket> result = new ArrayList<>();
-		for (Map.Entry<PoolKey, PoolState> entry : this.pools.entrySet()) {
-			PoolState state = entry.getValue();
-			if (!state.queue.hasWork()) {
-				continue;
-			}
-			result.addAll(state.queue.ready((request) -> {
-				Pool pool = this.selector.pool(request.pool(), nowNanos);
-				return canStart(request, pool, state, nowNanos);
-			}, drain(this.selector.pool(entry.getKey(), nowNanos)), nowNanos));
-		}
+		List<ReadyTicket> result = this.dispatcher.ready(nowNanos);
 		for (ReadyTicket ready : result) {
 			if (ready.refusal().isPresent()) {
 				end(ready.ticket(), 0);
@@ -257,11 +228,7 @@
 	 * @return requests in all queues
 	 */
 	public int queued() {
-		int result = 0;
-		for (PoolState state : this.pools.values()) {
-			result += state.queue.queue().size();
-		}
-		return result;
+		return this.dispatcher.queued();
 	}
 
 	/**
@@ -279,10 +246,7 @@
 			local = this.selector.choose(pool, request, tried, nowNanos);
 		}
 		if (mayForward && !request.forwarded()) {
-			int waiting = waiting(request.pool());
-			int pending = Math.max(0, admitted(request.pool()) - 1);
-			Optional<RegionSummary> away = this.sendAway.choose(request, home(request, pool, waiting, pending),
-					this.selector.peers() + 1, nowNanos);
+			Optional<RegionSummary> away = this.dispatcher.away(request, pool, nowNanos);
 			if (away.isPresent()) {
 				return new Placement.Forward(away.get().region(), away.get().dataCentre());
 			}
@@ -302,9 +266,8 @@
 	 */
 	public Attempt dispatched(Ticket ticket, Placement placement, long nowNanos) {
 		Attempt attempt = new Attempt(ticket, placement, nowNanos);
-		PoolState state = this.pools.get(ticket.request().pool());
-		if (state != null && ticket.stage() != Ticket.Stage.RELEASED) {
-			state.queue.leave(ticket, Ticket.Stage.PLACED);
+		if (ticket.stage() != Ticket.Stage.RELEASED) {
+			this.dispatcher.leave(ticket, Ticket.Stage.PLACED);
 		}
 		if (placement instanceof Placement.Local) {
 			this.selector.dispatched(attempt, nowNanos);
@@ -365,11 +328,7 @@
 			return;
 		}
 		PolicyRequest request = ticket.request();
-		PoolState state = this.pools.get(request.pool());
-		if (state != null) {
-			state.queue.leave(ticket, Ticket.Stage.RELEASED);
-		}
-		ticket.stage(Ticket.Stage.RELEASED);
+		this.dispatcher.leave(ticket, Ticket.Stage.RELEASED);
 		if (!request.forwarded()) {
 			this.gates.end(request, request.countedTokens() - usedTokens);
 		}
@@ -413,73 +372,11 @@
 	 * @return the summaries
 	 */
 	public List<RegionSummary> summaries(long nowNanos) {
-		List<RegionSummary> result = new ArrayList<>();
-		Set<PoolKey> keys = new HashSet<>(this.pools.keySet());
-		keys.addAll(this.selector.livePools(nowNanos));
-		for (PoolKey key : keys) {
-			result.add(summary(key, nowNanos));
-		}
-		return result;
-	}
-
-	private RegionSummary summary(PoolKey key, long nowNanos) {
-		Pool pool = this.selector.pool(key, nowNanos);
-		double waiting = waiting(key) * (double) (this.selector.peers() + 1);
-		int free = (int) Math.max(0, pool.free() - waiting);
-		return new RegionSummary(this.region, this.dataCentre, key, free, (int) pool.slots(), pool.waitNanos(waiting),
-				pool.cheapestPerThousandTokensMicros(), pool.cheapestPerRequestMicros());
+		return this.dispatcher.summaries(this.region, this.dataCentre, nowNanos);
 	}
 
 	public CostAccount costs() {
 		return this.costs;
 	}
 
-	private boolean canStart(PolicyRequest request, Pool pool, PoolState state, long nowNanos) {
-		if (pool.free() - state.queue.admitted() >= 1) {
-			return true;
-		}
-		if (request.forwarded()) {
-			return false;
-		}
-		int waiting = state.queue.queue().size() + state.queue.admitted();
-		return this.sendAway
-			.choose(request, home(request, pool, waiting, state.queue.admitted()), this.selector.peers() + 1, nowNanos)
-			.isPresent();
-	}
-
-	private HomeView home(PolicyRequest request, Pool pool, int waiting, int pending) {
-		int sharers = this.selector.peers() + 1;
-		long waitNanos = pool.waitNanos(waiting * (double) sharers);
-		long coldNanos = (request.prefixHash() != 0) ? pool.coldNanos(request.promptTokens()) : 0;
-		double tokens = request.promptTokens() + pool.answerTokens();
-		double costMicros = pool.cheapestPerRequestMicros() + pool.cheapestPerThousandTokensMicros() * tokens / 1_000;
-		return new HomeView(!pool.isEmpty(), waitNanos, (long) costMicros, coldNanos, pool.answerTokens(), pending);
-	}
-
-	private int admitted(PoolKey key) {
-		PoolState state = this.pools.get(key);
-		return (state != null) ? state.queue.admitted() : 0;
-	}
-
-	private int waiting(PoolKey key) {
-		PoolState state = this.pools.get(key);
-		return (state != null) ? state.queue.queue().size() + state.queue.admitted() : 0;
-	}
-
-	private PoolQueue.Drain drain(Pool pool) {
-		int sharers = this.selector.peers() + 1;
-		double nanosPerRequest = pool.serviceNanos() / pool.expectedSlots() * sharers;
-		return new PoolQueue.Drain(nanosPerRequest, pool.serviceNanos());
-	}
-
-	private static final class PoolState {
-
-		private final PoolQueue queue;
-
-		PoolState(PolicySettings settings) {
-			this.queue = new PoolQueue(settings.admission());
-		}
-
-	}
-
 }
--- a/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/select/Pool.java
+++ b/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/select/Pool.java
@@ -22,6 +22,8 @@
 
 	private static final double DEFAULT_TOKENS = 100;
 
+	private static final double COLD_SHARE = 0.4;
+
 	private final PoolKey key;
 
 	private final Average nanosPerUnit = new Average(SAMPLE_WEIGHT);
@@ -38,6 +40,10 @@
 
 	private long viewedNanos;
 
+	private long refreshedNanos;
+
+	private long refreshedChanges = -1;
+
 	private double free;
 
 	private double slots;
@@ -75,7 +81,18 @@
 		this.viewedNanos = nowNanos;
 	}
 
-	void refresh(SelectSettings settings, long nowNanos) {
+	/**
+	 * Takes over what is known of the targets now, unless nothing has changed.
+	 * @param settings the settings
+	 * @param changes grows with each change of any target's state
+	 * @param nowNanos the monotonic time in nanoseconds
+	 */
+	void refresh(SelectSettings settings, long changes, long nowNanos) {
+		if (this.refreshedChanges == changes && this.refreshedNanos == nowNanos) {
+			return;
+		}
+		this.refreshedChanges = changes;
+		this.refreshedNanos = nowNanos;
 		this.free = 0;
 		this.slots = 0;
 		this.outstanding = 0;
@@ -201,7 +218,7 @@
 	 * @return nanoseconds
 	 */
 	public long coldNanos(int promptTokens) {
-		return (long) (nanosPerUnit() * promptTokens);
+		return (long) (COLD_SHARE * nanosPerUnit() * promptTokens);
 	}
 
 	/**
--- a/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/select/TargetCosts.java
+++ b/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/select/TargetCosts.java
@@ -19,8 +19,6 @@
 
 	private static final double DECODE_WEIGHT = 0.25;
 
-	private static final double PRICE_EXPONENT = 2;
-
 	private static final double IDLE_TOKEN_TIME = 0.4;
 
 	private final SelectSettings settings;
@@ -67,7 +65,7 @@
 			return latency;
 		}
 		double price = (double) (referencePrice(candidate.announcement()) + 1) / (pool.minPriceMicros() + 1);
-		return latency * Math.pow(price, PRICE_EXPONENT);
+		return latency * price * price;
 	}
 
 	double waitNanos(Pool pool, Candidate candidate) {
--- a/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/select/TargetSelector.java
+++ b/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/select/TargetSelector.java
@@ -48,6 +48,8 @@
 
 	private final Map<VmId, PeerReport> peers = new HashMap<>();
 
+	private long changes;
+
 	public TargetSelector(SelectSettings settings, TargetRegistry registry, UniformRandomProvider random) {
 		this.settings = settings;
 		this.registry = registry;
@@ -64,10 +66,11 @@
 		Pool pool = this.pools.computeIfAbsent(key, Pool::new);
 		if (pool.needsView(this.registry.version(), nowNanos, VIEW_NANOS)) {
 			expirePeers(nowNanos);
+			this.changes++;
 			pool.view(candidates(pool, nowNanos), this.registry.version(), nowNanos);
 			pruneStates(nowNanos);
 		}
-		pool.refresh(this.settings, nowNanos);
+		pool.refresh(this.settings, this.changes, nowNanos);
 		return pool;
 	}
 
@@ -97,6 +100,7 @@
 	 * @param nowNanos the monotonic time in nanoseconds
 	 */
 	public void peerInFlight(VmId peer, Map<TargetId, Integer> inFlight, long nowNanos) {
+		this.changes++;
 		PeerReport former = this.peers.put(peer, new PeerReport(Map.copyOf(inFlight), nowNanos));
 		if (former != null) {
 			former.inFlight.forEach((target, count) -> state(target).peersInFlightChanged(-count));
@@ -132,6 +136,7 @@
 	 * @param nowNanos the monotonic time in nanoseconds
 	 */
 	public void dispatched(Attempt attempt, long nowNanos) {
+		this.changes++;
 		Announcement target = target(attempt);
 		TargetState state = state(target.target());
 		Pool pool = this.pools.computeIfAbsent(attempt.request().pool(), Pool::new);
@@ -149,6 +154,7 @@
 	public void firstByte(Attempt attempt, long nowNanos) {
 		TargetState state = state(target(attempt).target());
 		long takenNanos = nowNanos - attempt.startedNanos();
+		this.changes++;
 		state.answered(nowNanos);
 		state.measured((double) takenNanos / Math.max(1, attempt.expectedFirstByteNanos()), nowNanos);
 		this.pools.computeIfAbsent(attempt.request().pool(), Pool::new).firstByteMeasured(attempt.units(), takenNanos);
@@ -163,6 +169,7 @@
 	 */
 	public void finished(Attempt attempt, AttemptOutcome outcome, long tokens, long nowNanos) {
 		TargetState state = state(target(attempt).target());
+		this.changes++;
 		state.finished();
 		if (!attempt.firstByteSeen()) {
 			state.withdrawn();
--- a/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/select/TargetState.java
+++ b/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/select/TargetState.java
@@ -159,7 +159,7 @@
 
 	double slowness(long nowNanos) {
 		double age = Math.max(0, nowNanos - this.slownessNanos);
-		return 1 + (this.slowness - 1) * Math.pow(0.5, age / SLOWNESS_HALF_LIFE_NANOS);
+		return 1 + (this.slowness - 1) * SLOWNESS_HALF_LIFE_NANOS / (SLOWNESS_HALF_LIFE_NANOS + age);
 	}
 
 	void measured(double ratio, long nowNanos) {
--- a/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/sendaway/SendAway.java
+++ b/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/sendaway/SendAway.java
@@ -142,15 +142,15 @@
 
 	private double gain(PolicyRequest request, HomeView home, Remote remote, int sharers, long nowNanos) {
 		RegionSummary summary = remote.summary();
+		if (home.hasTargets() && remote.free(sharers, home.pending()) < 1) {
+			return 0;
+		}
 		if (!budget(summary.dataCentre(), nowNanos).has(bytes(request, home.answerTokens()), nowNanos)) {
 			return 0;
 		}
 		if (!home.hasTargets()) {
 			return remote.mayTakeOne(sharers, home.pending()) ? Math.max(1, remote.free(sharers, home.pending())) : 0;
 		}
-		if (remote.free(sharers, home.pending()) < 1) {
-			return 0;
-		}
 		double timeGain = timeGainNanos(home, remote);
 		if (request.objective() == Objective.COST && saves(request, home, remote, sharers)) {
 			return HUNDRED_PERCENT + 1 / (1.0 + costMicros(request, home, remote));
