Remember prefixes once for all targets

Cause: one prefix map for each target cost 96 lookups a decision and grew with contracts. Change: one bounded map from prefix to the targets that were sent it.

--- a/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/select/TargetCosts.java
+++ b/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/select/TargetCosts.java
@@ -1,5 +1,7 @@
 package org.vanillatrestle.internal.select;
 
+import java.util.List;
+
 import org.vanillatrestle.Objective;
 import org.vanillatrestle.internal.request.PolicyRequest;
 import org.vanillatrestle.internal.target.Announcement;
@@ -27,17 +29,21 @@
 
 	private final Candidate preferred;
 
+	private final List<TargetState> holders;
+
 	/**
 	 * Creates the costs for one choice.
 	 * @param settings the settings
 	 * @param nowNanos the monotonic time in nanoseconds
 	 * @param preferred the target to which all VMs send the request's prefix if load
 	 * allows, or {@code null}
+	 * @param holders targets that likely have the request's prefix cached
 	 */
-	TargetCosts(SelectSettings settings, long nowNanos, Candidate preferred) {
+	TargetCosts(SelectSettings settings, long nowNanos, Candidate preferred, List<TargetState> holders) {
 		this.settings = settings;
 		this.nowNanos = nowNanos;
 		this.preferred = preferred;
+		this.holders = holders;
 	}
 
 	static long referencePrice(Announcement announcement) {
@@ -74,7 +80,7 @@
 	}
 
 	double firstByteNanos(Pool pool, Candidate candidate, PolicyRequest request) {
-		boolean cached = candidate == this.preferred || candidate.state().likelyCached(request.prefixHash());
+		boolean cached = candidate == this.preferred || this.holders.contains(candidate.state());
 		return pool.nanosPerUnit() * units(request, cached) * candidate.state().slowness(this.nowNanos)
 				* (1 + candidate.outstanding() / candidate.slots());
 	}
--- a/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/select/TargetSelector.java
+++ b/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/select/TargetSelector.java
@@ -44,6 +44,8 @@
 
 	private final Map<TargetId, TargetState> states = new HashMap<>();
 
+	private final PrefixMemory prefixes = new PrefixMemory();
+
 	private final Map<PoolKey, Pool> pools = new HashMap<>();
 
 	private final Map<VmId, PeerReport> peers = new HashMap<>();
@@ -88,7 +90,8 @@
 			return Optional.empty();
 		}
 		List<Candidate> usable = usable(untried);
-		TargetCosts costs = new TargetCosts(this.settings, nowNanos, Rendezvous.first(request.prefixHash(), untried));
+		TargetCosts costs = new TargetCosts(this.settings, nowNanos, Rendezvous.first(request.prefixHash(), untried),
+				this.prefixes.holders(request.prefixHash()));
 		Candidate chosen = this.settings.mode().choose(pool, usable, request, costs, this.random);
 		return Optional.of(chosen.announcement());
 	}
@@ -140,10 +143,11 @@
 		Announcement target = target(attempt);
 		TargetState state = state(target.target());
 		Pool pool = this.pools.computeIfAbsent(attempt.request().pool(), Pool::new);
-		boolean cached = state.likelyCached(attempt.request().prefixHash());
+		boolean cached = this.prefixes.holders(attempt.request().prefixHash()).contains(state);
 		attempt.units(TargetCosts.units(attempt.request(), cached));
 		attempt.expectedFirstByteNanos((long) (pool.nanosPerUnit() * attempt.units()));
-		state.dispatched(attempt.request().prefixHash(), nowNanos);
+		this.prefixes.sent(attempt.request().prefixHash(), state);
+		state.dispatched(nowNanos);
 	}
 
 	/**
--- a/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/select/TargetState.java
+++ b/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/select/TargetState.java
@@ -22,8 +22,6 @@
 
 	private final long idHash;
 
-	private final PrefixMemory prefixes = new PrefixMemory();
-
 	private int ownInFlight;
 
 	private int peersInFlight;
@@ -92,7 +90,6 @@
 			boolean known = this.incarnation != Long.MIN_VALUE;
 			this.incarnation = announcement.incarnation();
 			this.sequence = Long.MIN_VALUE;
-			this.prefixes.clear();
 			this.unexplained = 0;
 			this.rampsUp = known || !firstView;
 			this.backSinceNanos = nowNanos;
@@ -117,10 +114,9 @@
 		this.knownPeak = Math.max(this.knownPeak, this.ownInFlight + this.peersInFlight);
 	}
 
-	void dispatched(long prefixHash, long nowNanos) {
+	void dispatched(long nowNanos) {
 		this.ownInFlight++;
 		this.knownPeak = Math.max(this.knownPeak, this.ownInFlight + this.peersInFlight);
-		this.prefixes.sent(prefixHash);
 		if (this.silent == 0) {
 			this.silentSinceNanos = nowNanos;
 		}
@@ -149,8 +145,8 @@
 		return (this.silent > 0) ? nowNanos - this.silentSinceNanos : 0;
 	}
 
-	boolean likelyCached(long prefixHash) {
-		return this.prefixes.contains(prefixHash);
+	long incarnation() {
+		return this.incarnation;
 	}
 
 	double slowness() {
