--- a/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/policy/RequestPolicy.java
+++ b/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/policy/RequestPolicy.java
@@ -308,8 +308,17 @@
 			this.costs.addTarget(request.customer(),
 					CostAccount.targetMicros(local.target().capacity(), request.promptTokens() + tokens));
 		}
-		if (attempt.placement() instanceof Placement.Forward forward && outcome.speaksAgainstTarget()) {
-			this.sendAway.failed(request.pool(), forward.dataCentre(), nowNanos);
+		if (attempt.placement() instanceof Placement.Forward forward) {
+			forwardEnded(request, forward, outcome, nowNanos);
+		}
+	}
+
+	private void forwardEnded(PolicyRequest request, Placement.Forward forward, AttemptOutcome outcome, long nowNanos) {
+		if (outcome == AttemptOutcome.REFUSED) {
+			this.sendAway.refused(request.pool(), forward.dataCentre(), nowNanos);
+		}
+		else if (outcome.speaksAgainstTarget()) {
+			this.sendAway.lost(request.pool(), forward.dataCentre());
 		}
 	}
 
--- a/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/sendaway/Remote.java
+++ b/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/sendaway/Remote.java
@@ -19,10 +19,13 @@
 
 	private boolean active;
 
+	private boolean lost;
+
 	void heard(RegionSummary newSummary, long nowNanos) {
 		this.summary = newSummary;
 		this.heardNanos = nowNanos;
 		this.sentSince = 0;
+		this.lost = false;
 	}
 
 	RegionSummary summary() {
@@ -30,7 +33,7 @@
 	}
 
 	boolean usable(long nowNanos, long ttlNanos) {
-		return nowNanos - this.heardNanos <= ttlNanos && nowNanos >= this.leftAloneUntilNanos
+		return !this.lost && nowNanos - this.heardNanos <= ttlNanos && nowNanos >= this.leftAloneUntilNanos
 				&& this.summary.totalSlots() > 0;
 	}
 
@@ -57,6 +60,13 @@
 		this.sentSince++;
 	}
 
+	/**
+	 * Leaves the data centre alone until it is heard again.
+	 */
+	void lost() {
+		this.lost = true;
+	}
+
 	void leaveAlone(long untilNanos) {
 		this.leftAloneUntilNanos = untilNanos;
 	}
--- a/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/sendaway/SendAway.java
+++ b/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/sendaway/SendAway.java
@@ -113,18 +113,30 @@
 	}
 
 	/**
-	 * Leaves a data centre alone for a while since it could not serve a request.
+	 * Leaves a data centre alone for a while since it refused a request.
 	 * @param pool the request's pool
 	 * @param dataCentre the data centre
 	 * @param nowNanos the monotonic time in nanoseconds
 	 */
-	public void failed(PoolKey pool, DataCentreId dataCentre, long nowNanos) {
+	public void refused(PoolKey pool, DataCentreId dataCentre, long nowNanos) {
 		Remote remote = this.remotes.getOrDefault(pool, Map.of()).get(dataCentre);
 		if (remote != null) {
 			remote.leaveAlone(nowNanos + this.settings.refusalNanos());
 		}
 	}
 
+	/**
+	 * Leaves a data centre alone until it is heard again since it did not answer.
+	 * @param pool the request's pool
+	 * @param dataCentre the data centre
+	 */
+	public void lost(PoolKey pool, DataCentreId dataCentre) {
+		Remote remote = this.remotes.getOrDefault(pool, Map.of()).get(dataCentre);
+		if (remote != null) {
+			remote.lost();
+		}
+	}
+
 	public void removed(CustomerId customer) {
 		this.shares.keySet().removeIf((key) -> key.customer.equals(customer));
 	}
