--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/pipeline/EventStreamRelay.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/pipeline/EventStreamRelay.java
@@ -40,6 +40,7 @@
 	EventStreamRelay(Exchange exchange, LongSupplier clockNanos) {
 		this.exchange = exchange;
 		this.clockNanos = clockNanos;
+		this.delivered = exchange.initialOffset();
 	}
 
 	@Override
--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/pipeline/Exchange.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/pipeline/Exchange.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.function.BooleanSupplier;
 
 import io.netty.buffer.ByteBuf;
 import org.vanillatrestle.Caller;
@@ -10,6 +11,7 @@
 import org.vanillatrestle.OnceKey;
 import org.vanillatrestle.RequestId;
 import org.vanillatrestle.Verdict;
+import org.vanillatrestle.internal.request.Ticket;
 
 /**
  * One request on its way through the pipeline, with what the filters have found out.
@@ -39,8 +41,12 @@
 
 	private OnceClaim claim;
 
+	private Ticket ticket;
+
 	private int attempts;
 
+	private long usedTokens;
+
 	private boolean headSent;
 
 	private boolean ended;
@@ -55,7 +61,9 @@
 
 	private Runnable writabilityListener;
 
-	private boolean forwarded;
+	private BooleanSupplier startGate;
+
+	private int initialOffset;
 
 	private boolean sentAway;
 
@@ -135,6 +143,30 @@
 		this.claim = claim;
 	}
 
+	public Ticket ticket() {
+		return this.ticket;
+	}
+
+	/**
+	 * Notes that the policy has admitted the request or lets it wait.
+	 * @param ticket the policy's ticket
+	 */
+	public void ticket(Ticket ticket) {
+		this.ticket = ticket;
+	}
+
+	/**
+	 * Returns the tokens that count against the contract's limit.
+	 * @return tokens of the prompt and of all answers; 0 if no attempt was made
+	 */
+	public long usedTokens() {
+		return (this.attempts > 0) ? this.call.promptTokens() + this.usedTokens : 0;
+	}
+
+	void addUsedTokens(int tokens) {
+		this.usedTokens += tokens;
+	}
+
 	/**
 	 * Returns the monotonic time at which the request must be answered.
 	 * @return nanoseconds
@@ -160,11 +192,37 @@
 	 * @return whether the request was forwarded to this VM
 	 */
 	public boolean isForwarded() {
-		return this.forwarded;
+		return this.startGate != null;
+	}
+
+	/**
+	 * Notes that the request came from another VM.
+	 * @param startGate asked once before the first byte goes to a target; says whether
+	 * the request may still run
+	 */
+	public void forwarded(BooleanSupplier startGate) {
+		this.startGate = startGate;
+	}
+
+	/**
+	 * Asks whether the next attempt may begin.
+	 * @return {@code false} if the VM that forwarded the request was told that it never
+	 * will start
+	 */
+	boolean mayStart() {
+		return this.startGate == null || this.startGate.getAsBoolean();
+	}
+
+	/**
+	 * Returns the number of stream events that the answer leaves out from the start.
+	 * @return the number, 0 unless another VM resumes a stream here
+	 */
+	int initialOffset() {
+		return this.initialOffset;
 	}
 
-	public void forwarded(boolean forwarded) {
-		this.forwarded = forwarded;
+	void initialOffset(int offset) {
+		this.initialOffset = offset;
 	}
 
 	public boolean isSentAway() {
