--- a/vanillatrestle-bench/src/main/java/org/vanillatrestle/bench/internal/demo/Demo.java
+++ b/vanillatrestle-bench/src/main/java/org/vanillatrestle/bench/internal/demo/Demo.java
@@ -182,24 +182,31 @@
 	}
 
 	private void showCutRegion() throws IOException, InterruptedException, ExecutionException, TimeoutException {
-		step("Region lumbini is cut off from the others");
-		this.links.isolate("lumbini", true);
+		step("Region lumbini is cut off: the VMs of the other regions are frozen");
 		VmPlan cut = first("lumbini");
+		this.deployment.freeze("bagmati", true);
+		this.deployment.freeze("koshi", true);
 		showWhole("a clerk there reads a balance",
 				send(cut, RequestTemplate.of(RequestKind.BALANCE, "ledger", 0, CLERK_LUMBINI), ""));
 		showWhole("a clerk there pays out",
 				send(cut, RequestTemplate.of(RequestKind.PAYOUT, "ledger", 0, CLERK_LUMBINI), "demo-payout-2"));
 		CallOutcome away = send(cut, RequestTemplate.of(RequestKind.PAYOUT, "ledger", 0, SECRETARY), "demo-payout-3");
 		show("a secretary of bagmati pays out there", away, away.kind() != AnswerKind.WHOLE);
-		check("that payout ran " + this.targets.runsOf("demo-payout-3") + " time(s)",
-				this.targets.runsOf("demo-payout-3") == 0);
+		long runs = this.targets.runsOf("demo-payout-3");
+		check("that payout ran " + runs + " time(s)", runs == 0);
+		this.deployment.freeze("bagmati", false);
+		this.deployment.freeze("koshi", false);
+		showChangeWhileCut(cut);
+	}
+
+	private void showChangeWhileCut(VmPlan cut) throws IOException, InterruptedException {
+		step("The VMs of lumbini are frozen, and an operator changes a contract");
+		this.deployment.freeze("lumbini", true);
 		String next = contract("himdugdha").replace("\"revision\": 1", "\"revision\": 2");
 		HttpResponse<String> applied = this.deployment.apply("himdugdha", next, READY_MILLIS);
-		check("an operator applies revision 2: " + applied.statusCode() + " " + applied.body(),
-				applied.statusCode() == 200);
-		check("lumbini still has revision 1", !hasRevision(cut, 2));
-		step("The link of lumbini is restored");
-		this.links.isolate("lumbini", false);
+		check("revision 2: " + applied.statusCode() + " " + applied.body(), applied.statusCode() == 200);
+		step("The VMs of lumbini go on");
+		this.deployment.freeze("lumbini", false);
 		check("lumbini has revision 2 within 12 s", awaitRevision(cut, 2));
 	}
 
--- a/vanillatrestle-bench/src/main/java/org/vanillatrestle/bench/internal/deployment/Deployment.java
+++ b/vanillatrestle-bench/src/main/java/org/vanillatrestle/bench/internal/deployment/Deployment.java
@@ -92,6 +92,19 @@
 		return this.processes.get(vm.vm());
 	}
 
+	/**
+	 * Freezes or thaws the VMs of a region.
+	 * @param region the region
+	 * @param frozen whether to freeze them
+	 * @throws IOException if a signal can't be sent
+	 * @throws InterruptedException if a wait is interrupted
+	 */
+	public void freeze(String region, boolean frozen) throws IOException, InterruptedException {
+		for (VmPlan vm : this.plan.in(region)) {
+			process(vm).freeze(frozen);
+		}
+	}
+
 	/**
 	 * Waits until every VM says that it is ready.
 	 * @param maxMillis the longest to wait
--- a/vanillatrestle-bench/src/main/java/org/vanillatrestle/bench/internal/deployment/DeploymentPlan.java
+++ b/vanillatrestle-bench/src/main/java/org/vanillatrestle/bench/internal/deployment/DeploymentPlan.java
@@ -27,9 +27,8 @@
  * @param vms the VMs
  * @param operatorKey the key of the only operator
  * @param shutdownGraceMillis how long a VM that stops waits for requests in flight
- * @param contractsFolder the folder of contracts in force from the start, empty for none
  */
-public record DeploymentPlan(List<VmPlan> vms, String operatorKey, long shutdownGraceMillis, String contractsFolder) {
+public record DeploymentPlan(List<VmPlan> vms, String operatorKey, long shutdownGraceMillis) {
 
 	private static final int HTTP_PORT = 8080;
 
@@ -67,7 +66,7 @@
 						addressPrefix + "." + (vms.size() + 1), HTTP_PORT, PEER_PORT));
 			}
 		}
-		return new DeploymentPlan(vms, operatorKey, GRACE_MILLIS, "");
+		return new DeploymentPlan(vms, operatorKey, GRACE_MILLIS);
 	}
 
 	/**
@@ -79,15 +78,6 @@
 		return "127." + random.nextInt(10, 250) + "." + random.nextInt(1, 250);
 	}
 
-	/**
-	 * Returns the same plan with contracts in force from the start.
-	 * @param folder their folder
-	 * @return the plan
-	 */
-	public DeploymentPlan withContracts(String folder) {
-		return new DeploymentPlan(this.vms, this.operatorKey, this.shutdownGraceMillis, folder);
-	}
-
 	/**
 	 * Lists the VMs of a region.
 	 * @param region the region
@@ -147,9 +137,6 @@
 		if (self.needsDisk()) {
 			top.put("dataFolder", "data/" + self.vm());
 		}
-		if (!this.contractsFolder.isEmpty()) {
-			top.put("contractsFolder", this.contractsFolder);
-		}
 		return top.put("shutdownGraceMillis", this.shutdownGraceMillis);
 	}
 
--- a/vanillatrestle-bench/src/main/java/org/vanillatrestle/bench/internal/deployment/JavaProcess.java
+++ b/vanillatrestle-bench/src/main/java/org/vanillatrestle/bench/internal/deployment/JavaProcess.java
@@ -59,6 +59,18 @@
 		this.process.waitFor();
 	}
 
+	/**
+	 * Freezes or thaws the process, by SIGSTOP or SIGCONT. A frozen process is silent:
+	 * its connections stay open and nothing is answered.
+	 * @param frozen whether to freeze it
+	 * @throws IOException if the signal can't be sent
+	 * @throws InterruptedException if the wait is interrupted
+	 */
+	public void freeze(boolean frozen) throws IOException, InterruptedException {
+		String signal = frozen ? "-STOP" : "-CONT";
+		new ProcessBuilder("kill", signal, Long.toString(this.process.pid())).start().waitFor();
+	}
+
 	/**
 	 * Waits for the end of the process.
 	 * @param maxMillis the longest to wait
--- a/vanillatrestle-bench/src/main/java/org/vanillatrestle/bench/internal/measure/GatewayMeasurement.java
+++ b/vanillatrestle-bench/src/main/java/org/vanillatrestle/bench/internal/measure/GatewayMeasurement.java
@@ -191,10 +191,13 @@
 	 * @throws InterruptedException if a wait is interrupted
 	 */
 	public void measureHeap(int streams) throws IOException, InterruptedException {
-		try (MeasuredGateway gateway = new MeasuredGateway(this.folder.resolve("heap"));
+		MeasuredGateway gateway = new MeasuredGateway(this.folder.resolve("heap"));
+		gateway.found();
+		try (gateway;
 				HeapProcess probe = HeapProcess.start(gateway.settingsFile());
 				IdleStreams idle = new IdleStreams()) {
 			probe.usedBytes();
+			gateway.applyContract();
 			gateway.startEngine(STEP_MICROS);
 			gateway.awaitServing(MeasuredGateway.chat(1));
 			gateway.stallEngines();
--- a/vanillatrestle-bench/src/main/java/org/vanillatrestle/bench/internal/measure/MeasuredGateway.java
+++ b/vanillatrestle-bench/src/main/java/org/vanillatrestle/bench/internal/measure/MeasuredGateway.java
@@ -7,7 +7,6 @@
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
-import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
@@ -46,6 +45,8 @@
 
 	private static final long READY_MILLIS = 20_000;
 
+	private static final int STATUS_OK = 200;
+
 	private static final long POLL_MILLIS = 100;
 
 	private static final String CONTRACT = """
@@ -72,11 +73,7 @@
 
 	MeasuredGateway(Path folder) throws IOException {
 		this.folder = folder;
-		this.plan = DeploymentPlan.of(DeploymentPlan.randomPrefix(), List.of(REGION), List.of(1), "measure-operator")
-			.withContracts("contracts");
-		Files.createDirectories(folder.resolve("contracts"));
-		Files.writeString(folder.resolve("contracts").resolve("measure.json"),
-				CONTRACT.formatted(DeploymentPlan.sha256(KEY)));
+		this.plan = DeploymentPlan.of(DeploymentPlan.randomPrefix(), List.of(REGION), List.of(1), "measure-operator");
 		this.plan.write(folder);
 		this.deployment = new Deployment(this.plan, folder, DAEMON_OPTIONS);
 	}
@@ -111,12 +108,36 @@
 	 * @throws InterruptedException if the wait is interrupted
 	 */
 	void startDaemon() throws IOException, InterruptedException {
+		this.deployment.found();
 		this.deployment.startAll();
+		applyContract();
 		if (!this.deployment.awaitReady(READY_MILLIS)) {
 			throw new IOException("the daemon is not ready; see " + this.folder.resolve(vm().vm() + ".log"));
 		}
 	}
 
+	/**
+	 * Applies the contract under which is measured.
+	 * @throws IOException if it is refused
+	 * @throws InterruptedException if the wait is interrupted
+	 */
+	void applyContract() throws IOException, InterruptedException {
+		HttpResponse<String> answer = this.deployment.apply("measure", CONTRACT.formatted(DeploymentPlan.sha256(KEY)),
+				READY_MILLIS);
+		if (answer.statusCode() != STATUS_OK) {
+			throw new IOException("the contract is refused: " + answer.body());
+		}
+	}
+
+	/**
+	 * Founds the replicas without starting the daemon.
+	 * @throws IOException if that fails
+	 * @throws InterruptedException if the wait is interrupted
+	 */
+	void found() throws IOException, InterruptedException {
+		this.deployment.found();
+	}
+
 	/**
 	 * Starts an engine whose steps take the same time whatever the batch.
 	 * @param stepMicros the duration of a step
--- a/vanillatrestle-bench/src/test/java/org/vanillatrestle/bench/matrix/FaultMatrixTests.java
+++ b/vanillatrestle-bench/src/test/java/org/vanillatrestle/bench/matrix/FaultMatrixTests.java
@@ -1,11 +1,13 @@
 package org.vanillatrestle.bench.matrix;
 
+import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.EnumMap;
 import java.util.List;
 import java.util.Map;
 import java.util.UUID;
 
+import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.MethodSource;
 import org.vanillatrestle.bench.internal.load.AnswerKind;
@@ -54,8 +56,8 @@
 
 	@ParameterizedTest
 	@MethodSource("targetCases")
-	void shouldKeepThePromisesWhenATargetFails(MatrixCase matrixCase) throws Exception {
-		try (MatrixVm vm = new MatrixVm()) {
+	void shouldKeepThePromisesWhenATargetFails(MatrixCase matrixCase, @TempDir Path folder) throws Exception {
+		try (MatrixVm vm = new MatrixVm(folder)) {
 			List<StandInTarget> targets = vm.targets(matrixCase.kind());
 			strike(matrixCase, targets.get(0));
 			if (matrixCase.everyTarget()) {
--- a/vanillatrestle-bench/src/test/java/org/vanillatrestle/bench/matrix/MatrixVm.java
+++ b/vanillatrestle-bench/src/test/java/org/vanillatrestle/bench/matrix/MatrixVm.java
@@ -2,6 +2,11 @@
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
@@ -15,6 +20,7 @@
 import org.vanillatrestle.CallerName;
 import org.vanillatrestle.Contract;
 import org.vanillatrestle.ContractService;
+import org.vanillatrestle.Contracts;
 import org.vanillatrestle.CustomerId;
 import org.vanillatrestle.DataCentreId;
 import org.vanillatrestle.ModelName;
@@ -35,7 +41,9 @@
 import org.vanillatrestle.bench.internal.standin.Run;
 import org.vanillatrestle.bench.internal.standin.StandInTarget;
 import org.vanillatrestle.daemon.Node;
+import org.vanillatrestle.daemon.internal.node.ReplicaFounding;
 import org.vanillatrestle.daemon.internal.settings.HostAndPort;
+import org.vanillatrestle.daemon.internal.settings.OperatorSettings;
 import org.vanillatrestle.daemon.internal.settings.Role;
 import org.vanillatrestle.daemon.internal.settings.Settings;
 import org.vanillatrestle.daemon.internal.settings.VmSettings;
@@ -49,6 +57,10 @@
 
 	static final int TOKENS = 4;
 
+	private static final String OPERATOR_KEY = "matrix-operator";
+
+	private static final long POLL_MILLIS = 5;
+
 	private static final String REGION = "bagmati";
 
 	private static final String DATA_CENTRE = "bagmati-1";
@@ -63,11 +75,16 @@
 
 	private final Node node;
 
-	MatrixVm() throws IOException {
+	MatrixVm(Path folder) throws IOException, InterruptedException {
 		VmSettings self = new VmSettings(new VmId("bagmati-vm1"), new RegionId(REGION), new DataCentreId(DATA_CENTRE),
-				Set.of(Role.ENTRY), new HostAndPort("127.0.0.1", 0), new HostAndPort("127.0.0.1", 0));
-		this.node = Node.start(Settings.builder(self, List.of(self)).build());
-		this.node.contracts().add(contract());
+				Set.of(Role.values()), new HostAndPort("127.0.0.1", 0), new HostAndPort("127.0.0.1", 0));
+		Settings settings = Settings.builder(self, List.of(self))
+			.dataFolder(folder)
+			.operators(List.of(new OperatorSettings("operator", DeploymentPlan.sha256(OPERATOR_KEY))))
+			.build();
+		ReplicaFounding.found(settings, false);
+		this.node = Node.start(settings);
+		applyContract();
 		List<String> entries = List.of("127.0.0.1:" + this.node.httpPort());
 		for (int i = 1; i <= 2; i++) {
 			this.engines.add(
@@ -79,6 +96,18 @@
 		this.services.forEach((service) -> service.announcer().announce().join());
 	}
 
+	private void applyContract() throws IOException, InterruptedException {
+		HttpRequest put = HttpRequest
+			.newBuilder(URI.create("http://127.0.0.1:" + this.node.httpPort() + "/v1/contracts/himdugdha"))
+			.header("Authorization", "Bearer " + OPERATOR_KEY)
+			.PUT(HttpRequest.BodyPublishers.ofString(Contracts.write(contract())))
+			.build();
+		HttpClient client = HttpClient.newHttpClient();
+		while (client.send(put, HttpResponse.BodyHandlers.discarding()).statusCode() != 200) {
+			Thread.sleep(POLL_MILLIS);
+		}
+	}
+
 	private static Contract contract() {
 		return Contract.builder(new CustomerId("himdugdha"), 1)
 			.allowedRegions(Set.of(new RegionId(REGION)))
--- /dev/null
+++ b/vanillatrestle-bench/src/test/java/org/vanillatrestle/bench/processes/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Tests with real daemon processes.
+ */
+package org.vanillatrestle.bench.processes;
