Tell the ledger and the audit trail what the VMs learn; the status command

Cause: a review of the wiring found that time could count twice for a ledger whose leaders take turns, that a VM once taken for dead could never claim again, and that neither dropped answers nor VM events were recorded.

--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/cli/OperatorCommands.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/cli/OperatorCommands.java
@@ -19,7 +19,7 @@
 	public static List<Command> all() {
 		return List.of(new ContractApplyCommand(), ContractReadCommand.get(), ContractReadCommand.list(),
 				ContractReadCommand.status(), ContractReadCommand.history(), new ContractRemoveCommand(),
-				new AuditCommand(), new KeysHashCommand());
+				new AuditCommand(), new StatusCommand(), new KeysHashCommand());
 	}
 
 }
--- /dev/null
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/cli/StatusCommand.java
@@ -0,0 +1,52 @@
+package org.vanillatrestle.daemon.internal.cli;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import org.apache.commons.cli.CommandLine;
+import org.apache.commons.cli.ParseException;
+
+/**
+ * {@code status}: shows what one VM knows of itself, its replicas and its peers.
+ * <p>
+ * Stateless and thread safe.
+ */
+final class StatusCommand extends ReadCommand {
+
+	StatusCommand() {
+		super("status", "");
+	}
+
+	@Override
+	void check(CommandLine line) throws ParseException {
+		requireNoArguments(line);
+	}
+
+	@Override
+	String target(CommandLine line) {
+		return "/v1/status";
+	}
+
+	@Override
+	void print(JsonNode document, Output output) {
+		if (output.isJson()) {
+			output.json(document);
+			return;
+		}
+		output.line("VM " + document.path("vm").asText() + " of " + document.path("dataCentre").asText() + " in "
+				+ document.path("region").asText() + ": " + document.path("contracts").asText()
+				+ " contracts at index " + document.path("appliedIndex").asText());
+		printReplica("contract book", document.path("contractBook"), output);
+		printReplica("once ledger", document.path("onceLedger"), output);
+		output.table(document, document.path("members"), "vm", "status", "appliedIndex");
+		output.table(document, document.path("regions"), "region", "reachable", "sinceMillis");
+	}
+
+	private static void printReplica(String name, JsonNode replica, Output output) {
+		if (replica.isMissingNode()) {
+			return;
+		}
+		output.line(name + ": " + replica.path("role").asText() + " in term " + replica.path("term").asText()
+				+ ", leader " + replica.path("leader").asText("unknown") + ", commit index "
+				+ replica.path("commitIndex").asText() + replica.path("failure").asText());
+	}
+
+}
--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/ledger/ClaimFilter.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/ledger/ClaimFilter.java
@@ -34,7 +34,7 @@
 
 	private final VmId self;
 
-	private final long incarnation;
+	private final LongSupplier incarnation;
 
 	private final UniformRandomProvider random;
 
@@ -45,11 +45,11 @@
 	 * @param eventLoop the VM's event loop
 	 * @param client the way to the ledgers
 	 * @param self this VM
-	 * @param incarnation this VM's incarnation
+	 * @param incarnation gives this VM's incarnation, which grows when it was taken for dead
 	 * @param random the source of attempts' ids
 	 * @param clockNanos the monotonic clock in nanoseconds
 	 */
-	public ClaimFilter(EventLoop eventLoop, OnceClient client, VmId self, long incarnation,
+	public ClaimFilter(EventLoop eventLoop, OnceClient client, VmId self, LongSupplier incarnation,
 			UniformRandomProvider random, LongSupplier clockNanos) {
 		this.eventLoop = eventLoop;
 		this.client = client;
@@ -73,7 +73,7 @@
 		}
 		AttemptId attempt = new AttemptId(this.random.nextLong(), this.random.nextLong());
 		LedgerCommand.Claim command = new LedgerCommand.Claim(key, digest(exchange.request()), attempt, this.self,
-				this.incarnation);
+				this.incarnation.getAsLong());
 		Settlement settlement = new Settlement(this.eventLoop, this.client, home.get(), key, attempt);
 		new ClaimRun(exchange, next, this.eventLoop, this.client, home.get(), command, settlement, this.clockNanos)
 			.start();
--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/ledger/LedgerPart.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/ledger/LedgerPart.java
@@ -9,6 +9,8 @@
 
 import io.netty.channel.EventLoop;
 import io.netty.util.concurrent.Future;
+import org.vanillatrestle.CallerName;
+import org.vanillatrestle.CustomerId;
 import org.vanillatrestle.VmId;
 import org.vanillatrestle.daemon.internal.replica.ReplicaHost;
 import org.vanillatrestle.daemon.internal.replica.ReplicaSettings;
@@ -18,6 +20,7 @@
 import org.vanillatrestle.daemon.internal.storage.FolderFiles;
 import org.vanillatrestle.daemon.internal.storage.LogStorage;
 import org.vanillatrestle.daemon.internal.storage.OpenMode;
+import org.vanillatrestle.internal.log.LogStatus;
 import org.vanillatrestle.internal.log.Role;
 import org.vanillatrestle.internal.once.LedgerCommand;
 import org.vanillatrestle.wire.LedgerCommandCodec;
@@ -41,6 +44,8 @@
 
 	private static final long NANOS_PER_MILLI = 1_000_000;
 
+	private static final long NO_TERM = -1;
+
 	private final ReplicaHost replica;
 
 	private final LedgerMachine machine;
@@ -51,7 +56,9 @@
 
 	private Future<?> tickTimer;
 
-	private long lastTickNanos = -1;
+	private long lastTickNanos;
+
+	private long lastTickTerm = NO_TERM;
 
 	/**
 	 * Opens the replica's folder; the replica runs after {@link #start}.
@@ -83,24 +90,18 @@
 	}
 
 	private void openIfNew() {
-		if (this.machine.issuedPrefix() != null || this.opening.isEmpty()) {
-			this.openTimer.cancel(false);
-			return;
-		}
-		if (isLeader()) {
+		if (this.machine.issuedPrefix() == null && this.opening.isPresent() && isLeader()) {
 			propose(this.opening.get());
 		}
 	}
 
 	private void tick() {
 		long nowNanos = System.nanoTime();
-		if (!isLeader()) {
-			this.lastTickNanos = -1;
-			return;
-		}
-		if (this.lastTickNanos >= 0) {
+		LogStatus status = this.replica.status();
+		if (status.role() == Role.LEADER && status.term() == this.lastTickTerm) {
 			propose(new LedgerCommand.Tick((nowNanos - this.lastTickNanos) / NANOS_PER_MILLI));
 		}
+		this.lastTickTerm = (status.role() == Role.LEADER) ? status.term() : NO_TERM;
 		this.lastTickNanos = nowNanos;
 	}
 
@@ -115,6 +116,17 @@
 		}
 	}
 
+	/**
+	 * Drops the stored answers of a caller that a contract no longer lists.
+	 * @param customer the customer
+	 * @param caller the caller
+	 */
+	public void callerRemoved(CustomerId customer, CallerName caller) {
+		if (isLeader()) {
+			propose(new LedgerCommand.DropAnswers(customer, caller));
+		}
+	}
+
 	private void propose(LedgerCommand command) {
 		this.replica.propose(LedgerCommandCodec.encode(command));
 	}
--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/node/NodeParts.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/node/NodeParts.java
@@ -15,12 +15,14 @@
 import org.jboss.logging.Logger;
 import org.vanillatrestle.daemon.internal.contracts.BookContracts;
 import org.vanillatrestle.daemon.internal.control.ControlPart;
+import org.vanillatrestle.daemon.internal.control.VmNotes;
 import org.vanillatrestle.daemon.internal.directory.EntryDirectory;
 import org.vanillatrestle.daemon.internal.http.HttpFront;
 import org.vanillatrestle.daemon.internal.http.HttpRoute;
 import org.vanillatrestle.daemon.internal.http.HttpRoutes;
 import org.vanillatrestle.daemon.internal.ledger.LedgerPart;
 import org.vanillatrestle.daemon.internal.ledger.OnceService;
+import org.vanillatrestle.daemon.internal.ledger.RemovedCallers;
 import org.vanillatrestle.daemon.internal.lifecycle.Closer;
 import org.vanillatrestle.daemon.internal.operator.OperatorKeys;
 import org.vanillatrestle.daemon.internal.operator.OperatorRoute;
@@ -87,6 +89,8 @@
 
 	private HttpFront front;
 
+	private VmNotes vmNotes;
+
 	private volatile boolean shuttingDown;
 
 	/**
@@ -115,7 +119,7 @@
 		EntryDirectory directory = new EntryDirectory(this.settings, this.directoryView);
 		OnceService once = new OnceService(this.settings, this.ledger, () -> this.peers);
 		this.peers = newPeerService();
-		this.serving.build(this.peers, once, directory, this.incarnation, this.closer);
+		this.serving.build(this.peers, once, directory, this.closer);
 		startPeers(once);
 		startReplicas();
 		return startHttp(directory);
@@ -134,6 +138,7 @@
 				.add(new LedgerPart(this.settings, this.replicaLinks.transport(ReplicaLinks.Group.LEDGER)));
 			this.replicaLinks.register(ReplicaLinks.Group.LEDGER, part.replica());
 			this.ledger = Optional.of(part);
+			this.contracts.addListener(new RemovedCallers(part));
 		}
 	}
 
@@ -191,17 +196,19 @@
 			this.peers.answer(PeerChannel.ONCE, once::answer);
 			this.replicaLinks.start(this.peers);
 			this.serving.policyExchange().start(this.peers);
-			connectControls();
+			startControl();
 		});
 		this.closer.add(() -> this.loop.execute(this.serving.policyExchange()::close));
 		this.loop.scheduleAtFixedRate(this::updateBoard, 0, BOARD_PERIOD_MILLIS, TimeUnit.MILLISECONDS);
 		logger.debugf("Daemon: peers are accepted at %s.", bound);
 	}
 
-	private void connectControls() {
+	private void startControl() {
 		if (this.control.isEmpty()) {
 			return;
 		}
+		this.vmNotes = new VmNotes(this.settings, this.control.get(), this.peers, System::currentTimeMillis);
+		this.peers.receive(PeerChannel.STATUS, this.vmNotes::receive);
 		for (VmSettings vm : this.settings.withRole(Role.CONTROL)) {
 			if (!vm.vm().equals(this.settings.self().vm())) {
 				this.peers.node().connect(vm.peer().toSocketAddress());
@@ -292,6 +299,9 @@
 			boolean ended = event.kind() == MembershipEvent.Kind.DIED || event.kind() == MembershipEvent.Kind.LEFT;
 			boolean anew = event.kind() == MembershipEvent.Kind.JOINED;
 			NodeParts parts = NodeParts.this;
+			if (parts.vmNotes != null) {
+				parts.vmNotes.memberChanged(event);
+			}
 			if (ended) {
 				parts.ledger
 					.ifPresent((part) -> part.holderEnded(event.member().vm(), event.member().incarnation() + 1));
--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/node/ServingPart.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/node/ServingPart.java
@@ -135,10 +135,9 @@
 	 * @param peers the links to other VMs
 	 * @param once the once ledger of this data centre
 	 * @param directory lists entry VMs
-	 * @param incarnation the VM's incarnation
 	 * @param closer closes what is opened here
 	 */
-	void build(PeerService peers, OnceService once, EntryDirectory directory, long incarnation, Closer closer) {
+	void build(PeerService peers, OnceService once, EntryDirectory directory, Closer closer) {
 		RegionId region = this.settings.self().region();
 		TargetClient client = closer.add(new TargetClient(this.loop));
 		AttemptStarter starter = new AttemptStarter(new LocalAttempts(client),
@@ -148,7 +147,8 @@
 		this.admission = new AdmissionFilter(this.loop, this.policy, System::nanoTime);
 		ClassifyFilter classify = new ClassifyFilter();
 		RegionFilter regions = new RegionFilter(region, directory::entriesFor);
-		ClaimFilter claim = new ClaimFilter(this.loop, this.onceClient, this.settings.self().vm(), incarnation,
+		ClaimFilter claim = new ClaimFilter(this.loop, this.onceClient, this.settings.self().vm(),
+				() -> peers.membership().self().incarnation(),
 				this.random, System::nanoTime);
 		Pipeline callers = new Pipeline(List.of(new AuthenticateFilter(this.contracts), classify, regions,
 				this.admission, claim, this.dispatch));
--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/pipeline/AnswerRelay.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/pipeline/AnswerRelay.java
@@ -41,7 +41,7 @@
 
 	/**
 	 * Returns the number of tokens handed on, as far as known.
-	 * @return the number of stream events, 0 for other answers
+	 * @return the number of stream events, or what the answer itself says
 	 */
 	int tokens();
 
--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/pipeline/BufferedRelay.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/pipeline/BufferedRelay.java
@@ -28,6 +28,8 @@
 
 	private boolean passing;
 
+	private int tokens;
+
 	BufferedRelay(Exchange exchange, LongSupplier clockNanos, int maxBufferedBytes) {
 		this.exchange = exchange;
 		this.clockNanos = clockNanos;
@@ -90,7 +92,9 @@
 			this.exchange.answerEnd();
 			return;
 		}
-		this.exchange.answer(this.head, this.buffer.toByteArray(), this.clockNanos.getAsLong());
+		byte[] body = this.buffer.toByteArray();
+		this.tokens = this.exchange.call().model().isPresent() ? AnswerUsage.completionTokens(body) : 0;
+		this.exchange.answer(this.head, body, this.clockNanos.getAsLong());
 	}
 
 	private void endClaimed(OnceClaim claim) {
@@ -115,7 +119,7 @@
 
 	@Override
 	public int tokens() {
-		return 0;
+		return this.tokens;
 	}
 
 }
--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/routes/PipelineRoute.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/routes/PipelineRoute.java
@@ -7,8 +7,10 @@
 import java.util.function.LongSupplier;
 
 import org.apache.commons.rng.UniformRandomProvider;
+import org.jboss.logging.Logger;
 import org.vanillatrestle.RegionId;
 import org.vanillatrestle.RequestId;
+import org.vanillatrestle.Verdict;
 import org.vanillatrestle.daemon.internal.http.ConnectionListener;
 import org.vanillatrestle.daemon.internal.http.HttpRoute;
 import org.vanillatrestle.daemon.internal.pipeline.AnswerSink;
@@ -27,6 +29,8 @@
  */
 public final class PipelineRoute implements HttpRoute {
 
+	private static final Logger logger = Logger.getLogger(PipelineRoute.class);
+
 	private final Pipeline pipeline;
 
 	private final RegionId region;
@@ -80,11 +84,20 @@
 		}
 		this.active.add(exchange);
 		exchange.whenEnded(this.active::remove);
+		exchange.whenEnded(PipelineRoute::log);
 		this.listeners.forEach(exchange::whenEnded);
 		this.pipeline.run(exchange);
 		return new ExchangeConnection(exchange);
 	}
 
+	private static void log(Exchange exchange) {
+		if (exchange.verdict() == Verdict.MAY_HAVE_RUN) {
+			logger.infof("Request: %s of %s ended with status %d, attempts %d, verdict %s.", exchange.id(),
+					(exchange.contract() != null) ? exchange.contract().customer() : "an unknown caller",
+					exchange.status(), exchange.attempts(), exchange.verdict());
+		}
+	}
+
 	/**
 	 * Refuses requests from now on.
 	 */
