--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/cli/AuditCommand.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/cli/AuditCommand.java
@@ -89,8 +89,9 @@
 		String revisions = record.has("customer")
 				? " revision " + record.path("fromRevision").asText() + " -> " + record.path("toRevision").asText()
 				: "";
-		output.line(record.path("at").asText() + " " + record.path("event").asText() + " " + subject + revisions
-				+ " by " + actor + " " + record.path("detail").asText());
+		String line = record.path("at").asText() + " " + record.path("event").asText() + " " + subject + revisions
+				+ " by " + actor + " " + record.path("detail").asText();
+		output.line(line.strip());
 		record.path("changes")
 			.forEach((change) -> output.line("    " + change.path("path").asText() + ": "
 					+ change.path("before").asText() + " -> " + change.path("after").asText()));
--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/cli/ContractReadCommand.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/cli/ContractReadCommand.java
@@ -29,8 +29,7 @@
 	}
 
 	static ContractReadCommand get() {
-		return new ContractReadCommand("get", true, "",
-				(document, output) -> output.json(output.isJson() ? document : document.path("contract")));
+		return new ContractReadCommand("get", true, "", ContractReadCommand::printContract);
 	}
 
 	static ContractReadCommand list() {
@@ -47,6 +46,19 @@
 		return new ContractReadCommand("status", true, "/status", ContractReadCommand::printStatus);
 	}
 
+	private static void printContract(JsonNode document, Output output) {
+		if (output.isJson()) {
+			output.json(document);
+		}
+		else if (document.path("removed").asBoolean()) {
+			output.line(document.path("customer").asText() + " was removed with revision "
+					+ document.path("revision").asText());
+		}
+		else {
+			output.json(document.path("contract"));
+		}
+	}
+
 	private static void printStatus(JsonNode document, Output output) {
 		if (!output.isJson()) {
 			output.line(document.path("customer").asText() + " revision " + document.path("revision").asText()
--- a/vanillatrestle-daemon/src/test/java/org/vanillatrestle/daemon/internal/cli/OperatorCommandsTests.java
+++ b/vanillatrestle-daemon/src/test/java/org/vanillatrestle/daemon/internal/cli/OperatorCommandsTests.java
@@ -205,6 +205,8 @@
 		write("himdugdha", 1, 1);
 		run("contract apply", "-f", this.folder.toString());
 		assertThat(run("contract remove", "himdugdha", "--revision", "2")).isZero();
+		assertThat(run("contract get", "himdugdha")).isZero();
+		assertThat(this.out.toString()).contains("was removed with revision 2");
 		assertThat(run("contract history", "himdugdha")).isZero();
 		assertThat(this.out.toString().lines()).hasSize(3);
 		assertThat(run("contract status", "himdugdha")).isZero();
