Refuse a first revision that no later one could follow

The first contract of a customer may bear any number; near the greatest number the next would overflow, and the contract could never be changed again.

--- a/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/book/ContractBook.java
+++ b/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/book/ContractBook.java
@@ -33,6 +33,8 @@
  */
 public final class ContractBook implements BookSource {
 
+	private static final long MAX_REVISION = 1_000_000_000_000_000L;
+
 	private final BookLimits limits;
 
 	private final ContractTable table = new ContractTable();
@@ -101,6 +103,10 @@
 			throw new InvalidDocumentException("$.customer", "the document is of '" + contract.customer()
 					+ "', but was sent to the contract of '" + command.customer() + "'");
 		}
+		if (contract.revision() > MAX_REVISION) {
+			throw new InvalidDocumentException("$.revision",
+					"a revision is at most " + MAX_REVISION + ", so that later ones can follow");
+		}
 		return contract;
 	}
 
--- a/vanillatrestle-core/src/test/java/org/vanillatrestle/internal/book/ContractBookTests.java
+++ b/vanillatrestle-core/src/test/java/org/vanillatrestle/internal/book/ContractBookTests.java
@@ -86,6 +86,13 @@
 				(fault) -> assertThat(fault.path()).isEqualTo("$.customer"));
 	}
 
+	@Test
+	void shouldRefuseARevisionThatNoneCouldFollow() {
+		assertThat(apply(ContractDocuments.apply("asha", "himdugdha", Long.MAX_VALUE, 1)))
+			.isInstanceOfSatisfying(Invalid.class, (fault) -> assertThat(fault.path()).isEqualTo("$.revision"));
+		assertThat(this.book.entry(CUSTOMER)).isEmpty();
+	}
+
 	@Test
 	void shouldAuditEveryChangeWithItsDifference() {
 		apply(ContractDocuments.apply("asha", "himdugdha", 1, 1));
