Let a replica ask to join again after its admission was cut off

Cause: a schedule with links cut one way (five replicas) left a replica outside for good. It had got the entry that made it a learner, the next leader cut that entry off, and a replica that thinks it is a learner neither asks to join nor asks for votes.

Change: whoever is no voter and hears of no leader asks to join. The schedules now cut links one way. A story shows the fault: it fails without the change and passes with it.

--- a/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/log/ReplicatedLog.java
+++ b/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/log/ReplicatedLog.java
@@ -93,7 +93,8 @@
 	}
 
 	private void askToJoin() {
-		boolean outside = !this.state.membership().contains(this.state.self()) || this.state.removed();
+		boolean voter = this.state.membership().isVoter(this.state.self());
+		boolean outside = (!voter && !this.state.hasRecentLeader()) || this.state.removed();
 		boolean due = this.state.nowNanos() - this.joinNanos >= this.state.settings().electionTimeoutNanos();
 		if (!outside || !due) {
 			return;
--- a/vanillatrestle-core/src/test/java/org/vanillatrestle/internal/log/ReplicatedLogFuzzTests.java
+++ b/vanillatrestle-core/src/test/java/org/vanillatrestle/internal/log/ReplicatedLogFuzzTests.java
@@ -154,7 +154,21 @@
 			}
 		},
 
-		HEAL(3) {
+		MUTE(1) {
+			@Override
+			void run(SimulatedGroup group, int number, int choice) {
+				group.mute(group.replica(number));
+			}
+		},
+
+		DEAFEN(1) {
+			@Override
+			void run(SimulatedGroup group, int number, int choice) {
+				group.deafen(group.replica(number));
+			}
+		},
+
+		HEAL(4) {
 			@Override
 			void run(SimulatedGroup group, int number, int choice) {
 				group.heal();
--- a/vanillatrestle-core/src/test/java/org/vanillatrestle/internal/log/ReplicatedLogTests.java
+++ b/vanillatrestle-core/src/test/java/org/vanillatrestle/internal/log/ReplicatedLogTests.java
@@ -47,6 +47,23 @@
 		assertThat(old.log().propose(new byte[1], 0)).isInstanceOf(Proposal.Refused.class);
 	}
 
+	@ParameterizedTest
+	@ValueSource(booleans = { true, false })
+	void shouldElectAnotherLeaderWhenItsLinkIsCutOneWay(boolean muted) {
+		SimulatedGroup group = formed(3);
+		SimulatedReplica old = group.leader().orElseThrow();
+		if (muted) {
+			group.mute(old);
+		}
+		else {
+			group.deafen(old);
+		}
+		group.runFor(3000);
+		assertThat(group.status(old).role()).isNotEqualTo(Role.LEADER);
+		group.commit(3);
+		group.checkRecovery(3);
+	}
+
 	@Test
 	void shouldNotDisturbLeaderAfterLongIsolation() {
 		SimulatedGroup group = formed(3);
@@ -61,6 +78,23 @@
 		group.checkRecovery(3);
 	}
 
+	@Test
+	void shouldAskToJoinAgainWhenItsAdmissionWasCutOff() {
+		SimulatedGroup group = formed(5);
+		SimulatedReplica leader = group.leader().orElseThrow();
+		SimulatedReplica lost = follower(group);
+		group.loseDisk(lost);
+		group.replicas().stream().filter((r) -> r != leader && r != lost).forEach(group::cut);
+		group.start(lost);
+		group.runUntil((g) -> g.status(lost).membership().isLearner(lost.id()));
+		assertThat(group.status(lost).membershipCommitted()).isFalse();
+		group.heal();
+		group.cut(leader);
+		group.runFor(2000);
+		group.commit(1);
+		group.checkRecovery(5);
+	}
+
 	@Test
 	void shouldNotVoteWithEmptiedStorage() {
 		SimulatedGroup group = formed(3);
--- a/vanillatrestle-core/src/test/java/org/vanillatrestle/internal/log/SimulatedGroup.java
+++ b/vanillatrestle-core/src/test/java/org/vanillatrestle/internal/log/SimulatedGroup.java
@@ -32,6 +32,10 @@
 
 	private final Set<VmId> cut = new HashSet<>();
 
+	private final Set<VmId> muted = new HashSet<>();
+
+	private final Set<VmId> deafened = new HashSet<>();
+
 	private Network faults = (envelope) -> List.of(envelope);
 
 	private Runnable boundary = () -> {
@@ -101,8 +105,18 @@
 		this.cut.add(replica.id().vm());
 	}
 
+	void mute(SimulatedReplica replica) {
+		this.muted.add(replica.id().vm());
+	}
+
+	void deafen(SimulatedReplica replica) {
+		this.deafened.add(replica.id().vm());
+	}
+
 	void heal() {
 		this.cut.clear();
+		this.muted.clear();
+		this.deafened.clear();
 	}
 
 	private void send(LogEnvelope envelope) {
@@ -139,7 +153,10 @@
 	}
 
 	private boolean isCut(LogEnvelope envelope) {
-		return this.cut.contains(envelope.from().vm()) || this.cut.contains(envelope.to().vm());
+		VmId from = envelope.from().vm();
+		VmId to = envelope.to().vm();
+		return this.cut.contains(from) || this.cut.contains(to) || this.muted.contains(from)
+				|| this.deafened.contains(to);
 	}
 
 	void pass(long millis) {
