--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/cli/StatusCommand.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/cli/StatusCommand.java
@@ -32,8 +32,8 @@
 			return;
 		}
 		output.line("VM " + document.path("vm").asText() + " of " + document.path("dataCentre").asText() + " in "
-				+ document.path("region").asText() + ": " + document.path("contracts").asText()
-				+ " contracts at index " + document.path("appliedIndex").asText());
+				+ document.path("region").asText() + ": " + document.path("contracts").asText() + " contracts at index "
+				+ document.path("appliedIndex").asText());
 		printReplica("contract book", document.path("contractBook"), output);
 		printReplica("once ledger", document.path("onceLedger"), output);
 		output.table(document, document.path("members"), "vm", "status", "appliedIndex");
--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/ledger/ClaimFilter.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/ledger/ClaimFilter.java
@@ -45,7 +45,8 @@
 	 * @param eventLoop the VM's event loop
 	 * @param client the way to the ledgers
 	 * @param self this VM
-	 * @param incarnation gives this VM's incarnation, which grows when it was taken for dead
+	 * @param incarnation gives this VM's incarnation, which grows when it was taken for
+	 * dead
 	 * @param random the source of attempts' ids
 	 * @param clockNanos the monotonic clock in nanoseconds
 	 */
--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/node/ServingPart.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/node/ServingPart.java
@@ -148,8 +148,7 @@
 		ClassifyFilter classify = new ClassifyFilter();
 		RegionFilter regions = new RegionFilter(region, directory::entriesFor);
 		ClaimFilter claim = new ClaimFilter(this.loop, this.onceClient, this.settings.self().vm(),
-				() -> peers.membership().self().incarnation(),
-				this.random, System::nanoTime);
+				() -> peers.membership().self().incarnation(), this.random, System::nanoTime);
 		Pipeline callers = new Pipeline(List.of(new AuthenticateFilter(this.contracts), classify, regions,
 				this.admission, claim, this.dispatch));
 		Pipeline forwarded = new Pipeline(List.of(classify, regions, this.admission, this.dispatch));
