Let retries wait like first attempts; give up streams that stop

Cause: a retry was placed without regard to what waits; a target that could not be reached stayed a candidate; a stream that stalled in the middle was noticed only at its deadline.

--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/node/ServingPart.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/node/ServingPart.java
@@ -143,8 +143,8 @@
 		AttemptStarter starter = new AttemptStarter(new LocalAttempts(client),
 				new PeerForwardAttempts(peers, this.contracts, this.random, System::nanoTime));
 		this.onceClient = new OnceClient(this.loop, this.settings, peers, once);
-		this.dispatch = new DispatchFilter(this.loop, this.policy, starter, System::nanoTime);
 		this.admission = new AdmissionFilter(this.loop, this.policy, System::nanoTime);
+		this.dispatch = new DispatchFilter(this.loop, this.policy, this.admission, starter, System::nanoTime);
 		ClassifyFilter classify = new ClassifyFilter();
 		RegionFilter regions = new RegionFilter(region, directory::entriesFor);
 		ClaimFilter claim = new ClaimFilter(this.loop, this.onceClient, this.settings.self().vm(),
--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/pipeline/AdmissionFilter.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/pipeline/AdmissionFilter.java
@@ -3,6 +3,7 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 
 import io.netty.channel.EventLoop;
@@ -55,8 +56,7 @@
 		}
 		else if (admission instanceof Admission.Queued queued) {
 			hold(exchange, queued.ticket());
-			this.waiting.put(queued.ticket(), new Waiting(exchange, next));
-			startPolling();
+			await(queued.ticket(), new Waiting(next, (refusal) -> refuse(exchange, refusal)));
 		}
 		else if (admission instanceof Admission.Admitted admitted) {
 			hold(exchange, admitted.ticket());
@@ -64,6 +64,35 @@
 		}
 	}
 
+	private void await(Ticket ticket, Waiting entry) {
+		this.waiting.put(ticket, entry);
+		startPolling();
+	}
+
+	/**
+	 * Lets an admitted request wait for its next attempt, as capacity demands.
+	 * @param exchange the request, after a failed attempt
+	 * @param next makes the attempt
+	 * @param whenRefused run instead if no attempt makes sense any more
+	 */
+	void again(Exchange exchange, Continuation next, Runnable whenRefused) {
+		Ticket ticket = exchange.ticket();
+		if (exchange.isEnded()) {
+			next.proceed();
+			return;
+		}
+		Admission admission = this.policy.again(ticket, this.clockNanos.getAsLong());
+		if (admission instanceof Admission.Refused) {
+			whenRefused.run();
+		}
+		else if (admission instanceof Admission.Queued) {
+			await(ticket, new Waiting(next, (refusal) -> whenRefused.run()));
+		}
+		else {
+			next.proceed();
+		}
+	}
+
 	private void hold(Exchange exchange, Ticket ticket) {
 		exchange.ticket(ticket);
 		exchange.whenEnded((ended) -> {
@@ -102,7 +131,7 @@
 				continue;
 			}
 			if (ready.refusal().isPresent()) {
-				refuse(entry.exchange(), ready.refusal().get());
+				entry.whenRefused().accept(ready.refusal().get());
 			}
 			else {
 				entry.next().proceed();
@@ -122,7 +151,7 @@
 		return this.waiting.size();
 	}
 
-	private record Waiting(Exchange exchange, Continuation next) {
+	private record Waiting(Continuation next, Consumer<Admission.Refused> whenRefused) {
 
 	}
 
--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/pipeline/AttemptRun.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/pipeline/AttemptRun.java
@@ -8,6 +8,7 @@
 import org.vanillatrestle.Verdict;
 import org.vanillatrestle.internal.request.Attempt;
 import org.vanillatrestle.internal.request.AttemptOutcome;
+import org.vanillatrestle.internal.request.Placement;
 
 /**
  * One attempt of a {@link DispatchRun}: checks its answer and hands it to the relay.
@@ -16,6 +17,8 @@
  */
 final class AttemptRun implements AttemptListener {
 
+	private static final long STALL_NANOS = TimeUnit.SECONDS.toNanos(5);
+
 	private final DispatchRun run;
 
 	private final Exchange exchange;
@@ -30,7 +33,11 @@
 
 	private AnswerRelay relay;
 
-	private Future<?> firstByteTimer;
+	private EventLoop eventLoop;
+
+	private Future<?> timer;
+
+	private long lastPartNanos;
 
 	AttemptRun(DispatchRun run, Exchange exchange, Attempt attempt, RelaySelector relays) {
 		this.run = run;
@@ -56,8 +63,14 @@
 		return Math.max(0, this.relays.tokens() - Math.max(0, this.resumeOffset));
 	}
 
-	void watchFirstByte(EventLoop eventLoop, long timeoutNanos) {
-		this.firstByteTimer = eventLoop.schedule(this::firstByteMissing, timeoutNanos, TimeUnit.NANOSECONDS);
+	/**
+	 * Gives the attempt up if its answer does not begin in time, or if a stream stops.
+	 * @param loop runs the timers
+	 * @param firstByteNanos how long to wait for the first byte
+	 */
+	void watch(EventLoop loop, long firstByteNanos) {
+		this.eventLoop = loop;
+		this.timer = loop.schedule(this::firstByteMissing, firstByteNanos, TimeUnit.NANOSECONDS);
 	}
 
 	private void firstByteMissing() {
@@ -66,6 +79,23 @@
 		}
 	}
 
+	private void watchStream() {
+		this.lastPartNanos = System.nanoTime();
+		this.timer = this.eventLoop.schedule(this::checkStream, STALL_NANOS, TimeUnit.NANOSECONDS);
+	}
+
+	private void checkStream() {
+		if (!this.run.isCurrent(this)) {
+			return;
+		}
+		long silentNanos = System.nanoTime() - this.lastPartNanos;
+		if (silentNanos >= STALL_NANOS && this.exchange.isWritable()) {
+			giveUp(AttemptOutcome.TIMED_OUT, "the stream stopped");
+			return;
+		}
+		this.timer = this.eventLoop.schedule(this::checkStream, STALL_NANOS, TimeUnit.NANOSECONDS);
+	}
+
 	void started(AttemptHandle newHandle) {
 		this.handle = newHandle;
 		if (!this.exchange.isWritable()) {
@@ -80,7 +110,7 @@
 	}
 
 	Verdict cancel() {
-		this.firstByteTimer.cancel(false);
+		this.timer.cancel(false);
 		return (this.handle != null) ? this.handle.cancel() : Verdict.MAY_HAVE_RUN;
 	}
 
@@ -89,7 +119,7 @@
 		if (!this.run.isCurrent(this)) {
 			return;
 		}
-		this.firstByteTimer.cancel(false);
+		this.timer.cancel(false);
 		this.run.firstByte(this);
 		if (isRefusalByTarget(head)) {
 			giveUp(AttemptOutcome.REFUSED, "status " + head.status());
@@ -101,6 +131,9 @@
 		}
 		this.relay = this.relays.select(head);
 		this.relay.head(head);
+		if (this.relay instanceof EventStreamRelay) {
+			watchStream();
+		}
 	}
 
 	/**
@@ -125,6 +158,7 @@
 			data.release();
 			return;
 		}
+		this.lastPartNanos = System.nanoTime();
 		this.relay.body(data);
 		if (this.relay instanceof EventStreamRelay stream && stream.isOverlong()) {
 			giveUp(AttemptOutcome.FAILED, "an event of the stream is too long");
@@ -139,6 +173,7 @@
 
 	@Override
 	public void onEnd() {
+		this.timer.cancel(false);
 		if (!this.run.isCurrent(this)) {
 			return;
 		}
@@ -151,9 +186,10 @@
 
 	@Override
 	public void onFailure(Verdict verdict, String detail) {
-		this.firstByteTimer.cancel(false);
+		this.timer.cancel(false);
 		if (this.run.isCurrent(this)) {
-			this.run.failed(this, AttemptOutcome.FAILED, verdict, detail);
+			boolean unreachable = verdict == Verdict.NOT_RUN && this.attempt.placement() instanceof Placement.Local;
+			this.run.failed(this, unreachable ? AttemptOutcome.UNREACHABLE : AttemptOutcome.FAILED, verdict, detail);
 		}
 	}
 
--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/pipeline/DispatchFilter.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/pipeline/DispatchFilter.java
@@ -18,6 +18,8 @@
 
 	private final RequestPolicy policy;
 
+	private final AdmissionFilter admission;
+
 	private final AttemptStarter starter;
 
 	private final LongSupplier clockNanos;
@@ -28,12 +30,15 @@
 	 * Creates the filter.
 	 * @param eventLoop the VM's event loop
 	 * @param policy decides where attempts go
+	 * @param admission lets requests wait for their next attempt
 	 * @param starter starts attempts
 	 * @param clockNanos the monotonic clock in nanoseconds
 	 */
-	public DispatchFilter(EventLoop eventLoop, RequestPolicy policy, AttemptStarter starter, LongSupplier clockNanos) {
+	public DispatchFilter(EventLoop eventLoop, RequestPolicy policy, AdmissionFilter admission, AttemptStarter starter,
+			LongSupplier clockNanos) {
 		this.eventLoop = eventLoop;
 		this.policy = policy;
+		this.admission = admission;
 		this.starter = starter;
 		this.clockNanos = clockNanos;
 	}
@@ -41,7 +46,8 @@
 	@Override
 	public void apply(Exchange exchange, Continuation next) {
 		AttemptLog attempts = new AttemptLog(exchange, this.policy, this.clockNanos);
-		DispatchRun run = new DispatchRun(exchange, this.eventLoop, attempts, this.starter, this.running::remove);
+		DispatchRun run = new DispatchRun(exchange, this.eventLoop, attempts, this.admission, this.starter,
+				this.running::remove);
 		this.running.add(run);
 		run.start();
 	}
--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/pipeline/DispatchRun.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/pipeline/DispatchRun.java
@@ -28,6 +28,8 @@
 
 	private final AttemptLog attempts;
 
+	private final AdmissionFilter admission;
+
 	private final AttemptStarter starter;
 
 	private final Consumer<DispatchRun> whenDone;
@@ -44,11 +46,12 @@
 
 	private boolean done;
 
-	DispatchRun(Exchange exchange, EventLoop eventLoop, AttemptLog attempts, AttemptStarter starter,
-			Consumer<DispatchRun> whenDone) {
+	DispatchRun(Exchange exchange, EventLoop eventLoop, AttemptLog attempts, AdmissionFilter admission,
+			AttemptStarter starter, Consumer<DispatchRun> whenDone) {
 		this.exchange = exchange;
 		this.eventLoop = eventLoop;
 		this.attempts = attempts;
+		this.admission = admission;
 		this.starter = starter;
 		this.whenDone = whenDone;
 		this.relays = new RelaySelector(exchange, attempts.clockNanos());
@@ -63,6 +66,9 @@
 	}
 
 	private void attempt(String lastFailure) {
+		if (this.done) {
+			return;
+		}
 		Placement placement = this.attempts.place();
 		if (placement instanceof Placement.None none) {
 			fail((lastFailure != null) ? Refusals.targetBroke(lastFailure, this.verdict)
@@ -76,7 +82,7 @@
 		int number = this.exchange.nextAttempt();
 		AttemptRun run = new AttemptRun(this, this.exchange, this.attempts.begin(placement), this.relays);
 		this.current = run;
-		run.watchFirstByte(this.eventLoop, this.attempts.firstByteTimeoutNanos());
+		run.watch(this.eventLoop, this.attempts.firstByteTimeoutNanos());
 		run.started(this.starter.start(this.exchange, placement, number, run.resumeOffset(), run));
 	}
 
@@ -111,7 +117,18 @@
 			fail(Refusals.targetBroke(detail, this.verdict));
 			return;
 		}
-		this.retryTimer = this.eventLoop.schedule(() -> attempt(detail), delayNanos, TimeUnit.NANOSECONDS);
+		this.retryTimer = this.eventLoop.schedule(() -> retry(detail), delayNanos, TimeUnit.NANOSECONDS);
+	}
+
+	private void retry(String lastFailure) {
+		this.admission.again(this.exchange, () -> attempt(lastFailure),
+				() -> failUnlessDone(Refusals.targetBroke(lastFailure, this.verdict)));
+	}
+
+	private void failUnlessDone(Refusal refusal) {
+		if (!this.done) {
+			fail(refusal);
+		}
 	}
 
 	private void deadlinePassed() {
