Crash the disk in the test of the failing disk

The test of a disk that fails at each operation reopened the folder with all that was written, synced or not, so a host without any sync would have passed. It now loses what was not synced. Waiting for a leader in the tests is bounded.

--- a/vanillatrestle-daemon/src/test/java/org/vanillatrestle/daemon/internal/replica/ReplicaHostTests.java
+++ b/vanillatrestle-daemon/src/test/java/org/vanillatrestle/daemon/internal/replica/ReplicaHostTests.java
@@ -99,7 +99,7 @@
 			await(() -> host.status().role() == Role.FAILED);
 			assertThat(host.status().failure().orElseThrow()).contains("no space left");
 			stop(host);
-			files.failAt(Integer.MAX_VALUE);
+			files.crash(0, false);
 			ReplicaHost reopened = start(FIRST, Set.of(FIRST), files, OpenMode.MUST_EXIST);
 			await(() -> reopened.status().role() == Role.LEADER && reopened.status().leaderlessNanos() == 0);
 			List<String> found = this.machines.get(FIRST).commands();
@@ -212,14 +212,17 @@
 	}
 
 	private ReplicaHost leader() {
-		while (true) {
-			for (ReplicaHost host : this.hosts.values()) {
-				if (host.status().role() == Role.LEADER && host.status().leaderlessNanos() == 0) {
-					return host;
-				}
-			}
-			Thread.onSpinWait();
+		try {
+			await(() -> this.hosts.values().stream().anyMatch(ReplicaHostTests::leads));
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
 		}
+		return this.hosts.values().stream().filter(ReplicaHostTests::leads).findFirst().orElseThrow();
+	}
+
+	private static boolean leads(ReplicaHost host) {
+		return host.status().role() == Role.LEADER && host.status().leaderlessNanos() == 0;
 	}
 
 	private static OpenMode mode(VmId vm) {
--- a/vanillatrestle-daemon/src/test/java/org/vanillatrestle/daemon/internal/storage/FakeFiles.java
+++ b/vanillatrestle-daemon/src/test/java/org/vanillatrestle/daemon/internal/storage/FakeFiles.java
@@ -45,7 +45,7 @@
 	 * @param kept the share of unsynced bytes that stay, from 0 to 1
 	 * @param damaged whether the last byte that stays is changed
 	 */
-	void crash(double kept, boolean damaged) {
+	public void crash(double kept, boolean damaged) {
 		boolean keepNames = kept == 1;
 		TreeMap<String, Content> names = new TreeMap<>(keepNames ? this.visible : this.durable);
 		names.values().forEach((content) -> content.crash(kept, damaged));
