Cut the bytes of membership and announcements under the budget

Change: heartbeats leave out addresses the others know, announcements are passed on every 2 s instead of 1 s, summaries every 0.3 s per data centre instead of 0.2 s. Announcements travel with their age, so that passing them on later prolongs no target's time to live.

--- a/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/membership/MemberRecord.java
+++ b/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/membership/MemberRecord.java
@@ -11,7 +11,8 @@
  * found on old evidence can't overrule a newer heartbeat.
  *
  * @param vm the VM
- * @param address where it accepts links, as {@code host:port}
+ * @param address where it accepts links, as {@code host:port}, empty in a message to a VM
+ * that should know it
  * @param roles the daemon's roles as bits
  * @param incarnation higher after each start and each refutation
  * @param heartbeat counts the VM's own periods within the incarnation
@@ -49,6 +50,16 @@
 				this.appliedIndex);
 	}
 
+	/**
+	 * Returns the same evidence with another address.
+	 * @param newAddress the address, empty to leave it out of a message
+	 * @return the record
+	 */
+	MemberRecord withAddress(String newAddress) {
+		return new MemberRecord(this.vm, newAddress, this.roles, this.incarnation, this.heartbeat, this.status,
+				this.appliedIndex);
+	}
+
 	/**
 	 * Returns the VM's next heartbeat.
 	 * @param newIncarnation the incarnation
--- a/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/membership/Membership.java
+++ b/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/membership/Membership.java
@@ -21,6 +21,10 @@
  */
 public final class Membership {
 
+	private static final int YOUNG_HEARTBEATS = 20;
+
+	private static final int FULL_MESSAGE_HEARTBEATS = 10;
+
 	private final MembershipSettings settings;
 
 	private final UniformRandomProvider random;
@@ -123,7 +127,7 @@
 		}
 		this.nextHeartbeatNanos = nowNanos + this.settings.periodNanos();
 		this.self = this.self.next(this.self.incarnation(), appliedIndex);
-		Gossip message = message(false, nowNanos);
+		Gossip message = heartbeat(nowNanos);
 		for (int i = 0; i < this.settings.fanOut(); i++) {
 			VmId receiver = nextReceiver();
 			if (receiver != null) {
@@ -206,12 +210,14 @@
 		MemberRecord believed = (rumour.status() == MemberStatus.DEAD) ? rumour.withStatus(MemberStatus.SUSPECT)
 				: rumour;
 		if (believed.supersedes(entry.member)) {
-			replace(entry, believed, nowNanos);
+			String address = (believed.address().isEmpty()) ? entry.member.address() : believed.address();
+			replace(entry, believed.withAddress(address), nowNanos);
 		}
 	}
 
 	private void add(MemberRecord rumour, long nowNanos) {
-		if (rumour.status() != MemberStatus.ALIVE || this.others.size() >= this.settings.maxMembers()) {
+		if (rumour.status() != MemberStatus.ALIVE || rumour.address().isEmpty()
+				|| this.others.size() >= this.settings.maxMembers()) {
 			return;
 		}
 		this.others.put(rumour.vm(), new Entry(rumour, nowNanos));
@@ -282,6 +288,24 @@
 		}
 	}
 
+	/**
+	 * Writes the message of a period. Addresses that the others should know by now are
+	 * left out of nine in ten, to save bytes.
+	 * @param nowNanos the monotonic time
+	 * @return the message
+	 */
+	private Gossip heartbeat(long nowNanos) {
+		Gossip message = message(false, nowNanos);
+		if (this.self.heartbeat() % FULL_MESSAGE_HEARTBEATS == 0) {
+			return message;
+		}
+		List<MemberRecord> members = message.members()
+			.stream()
+			.map((member) -> (member.heartbeat() > YOUNG_HEARTBEATS) ? member.withAddress("") : member)
+			.toList();
+		return new Gossip(message.sender(), false, members);
+	}
+
 	private Gossip message(boolean answerWanted, long nowNanos) {
 		List<MemberRecord> members = new ArrayList<>();
 		members.add(this.self);
--- a/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/membership/SummarySettings.java
+++ b/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/membership/SummarySettings.java
@@ -22,7 +22,7 @@
 	 * @return the defaults
 	 */
 	public static SummarySettings defaults() {
-		return new SummarySettings(TimeUnit.SECONDS.toNanos(2), TimeUnit.MILLISECONDS.toNanos(200),
+		return new SummarySettings(TimeUnit.SECONDS.toNanos(2), TimeUnit.MILLISECONDS.toNanos(300),
 				TimeUnit.SECONDS.toNanos(3), TimeUnit.MINUTES.toNanos(10), 256);
 	}
 
--- a/vanillatrestle-core/src/test/java/org/vanillatrestle/internal/membership/MembershipTests.java
+++ b/vanillatrestle-core/src/test/java/org/vanillatrestle/internal/membership/MembershipTests.java
@@ -16,6 +16,9 @@
 		SimulatedDataCentre dataCentre = new SimulatedDataCentre(6, 1);
 		dataCentre.run(5);
 		assertThat(dataCentre.agree(Set.of(0, 1, 2, 3, 4, 5))).isTrue();
+		dataCentre.run(60);
+		assertThat(dataCentre.views.get(5).present()).extracting(MemberRecord::address)
+			.containsExactly("host:0", "host:1", "host:2", "host:3", "host:4");
 	}
 
 	@Test
--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/peer/PeerService.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/peer/PeerService.java
@@ -55,7 +55,7 @@
 
 	private static final int TICK_MILLIS = 250;
 
-	private static final int TICKS_PER_FLUSH = 4;
+	private static final int TICKS_PER_FLUSH = 8;
 
 	private static final int CONTACTS = 2;
 
@@ -351,7 +351,7 @@
 				return;
 			}
 			service.membership.linkUp(peer.vm(), nowNanos);
-			service.node.send(peer.vm(), PeerChannel.TARGETS, service.targets.all());
+			service.node.send(peer.vm(), PeerChannel.TARGETS, service.targets.all(nowNanos));
 		}
 
 		@Override
--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/peer/TargetExchange.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/peer/TargetExchange.java
@@ -22,7 +22,9 @@
  * <p>
  * Not thread safe: used on the event loop. Invariants: what came from a VM is not passed
  * on again; news that a target leaves, or is new, goes out at once; a load is passed on
- * alone only if the rest of the announcement was passed on within the last half minute.
+ * alone only if the rest of the announcement was passed on within the last half minute;
+ * each announcement travels with its age, so that passing it on prolongs no target's time
+ * to live.
  */
 final class TargetExchange {
 
@@ -38,7 +40,7 @@
 
 	private final Map<TargetId, Passed> passed = new HashMap<>();
 
-	private final Map<TargetId, Announcement> pending = new LinkedHashMap<>();
+	private final Map<TargetId, Heard> pending = new LinkedHashMap<>();
 
 	private final Map<Integer, Known> known = new HashMap<>();
 
@@ -56,9 +58,9 @@
 		if (this.passed.size() >= MAX_TARGETS && !this.passed.containsKey(announcement.target())) {
 			return;
 		}
-		this.pending.put(announcement.target(), announcement);
+		this.pending.put(announcement.target(), new Heard(announcement, nowNanos));
 		Passed before = this.passed.get(announcement.target());
-		if (before == null || before.announcement.leaving() != announcement.leaving()) {
+		if (before == null || before.full.leaving() != announcement.leaving()) {
 			flush(nowNanos);
 		}
 	}
@@ -71,16 +73,17 @@
 		if (this.pending.isEmpty()) {
 			return;
 		}
-		List<Announcement> full = new ArrayList<>();
+		List<TargetNews.Full> full = new ArrayList<>();
 		List<TargetNews.Load> loads = new ArrayList<>();
-		for (Announcement announcement : this.pending.values()) {
-			if (needsFull(announcement, nowNanos)) {
-				full.add(announcement);
-				this.passed.put(announcement.target(), new Passed(announcement, nowNanos));
+		for (Heard heard : this.pending.values()) {
+			if (needsFull(heard.announcement, nowNanos)) {
+				full.add(heard.full(nowNanos));
+				this.passed.put(heard.announcement.target(), new Passed(heard.announcement, nowNanos, heard));
 			}
 			else {
-				int key = TargetNews.key(announcement.target(), announcement.incarnation());
-				loads.add(new TargetNews.Load(key, announcement.sequence(), announcement.load()));
+				loads.add(heard.load(nowNanos));
+				this.passed.computeIfPresent(heard.announcement.target(),
+						(target, before) -> new Passed(before.full, before.sentNanos, heard));
 			}
 		}
 		this.pending.clear();
@@ -89,10 +92,11 @@
 
 	/**
 	 * Returns all that a VM newly linked needs to know.
-	 * @return the announcements in full that this VM passed on
+	 * @param nowNanos the monotonic time
+	 * @return the latest announcements that this VM passed on, in full
 	 */
-	byte[] all() {
-		List<Announcement> full = this.passed.values().stream().map((entry) -> entry.announcement).toList();
+	byte[] all(long nowNanos) {
+		List<TargetNews.Full> full = this.passed.values().stream().map((entry) -> entry.latest.full(nowNanos)).toList();
 		return TargetCodec.encode(new TargetNews(full, List.of()));
 	}
 
@@ -113,19 +117,24 @@
 	 */
 	void receive(byte[] payload, long nowNanos) throws PeerException {
 		TargetNews news = TargetCodec.decode(payload);
-		for (Announcement announcement : news.full()) {
-			remember(announcement, nowNanos);
-			this.registry.announce(announcement, nowNanos);
+		for (TargetNews.Full full : news.full()) {
+			remember(full.announcement(), nowNanos);
+			this.registry.announce(full.announcement(), madeNanos(full.ageMillis(), nowNanos));
 		}
 		for (TargetNews.Load load : news.loads()) {
 			Known entry = this.known.get(load.key());
 			if (entry != null) {
 				entry.heardNanos = nowNanos;
-				this.registry.announce(with(entry.announcement, load.sequence(), load.load()), nowNanos);
+				this.registry.announce(with(entry.announcement, load.sequence(), load.load()),
+						madeNanos(load.ageMillis(), nowNanos));
 			}
 		}
 	}
 
+	private static long madeNanos(int ageMillis, long nowNanos) {
+		return nowNanos - TimeUnit.MILLISECONDS.toNanos(ageMillis);
+	}
+
 	private void remember(Announcement announcement, long nowNanos) {
 		int key = TargetNews.key(announcement.target(), announcement.incarnation());
 		Known before = this.known.get(key);
@@ -141,7 +150,7 @@
 		if (before == null || nowNanos - before.sentNanos >= FULL_INTERVAL_NANOS) {
 			return true;
 		}
-		Announcement sameLoad = with(before.announcement, announcement.sequence(), announcement.load());
+		Announcement sameLoad = with(before.full, announcement.sequence(), announcement.load());
 		return !sameLoad.equals(announcement);
 	}
 
@@ -152,9 +161,30 @@
 	}
 
 	/**
-	 * An announcement passed on in full.
+	 * An announcement that a target made to this VM, and when.
+	 */
+	private record Heard(Announcement announcement, long heardNanos) {
+
+		TargetNews.Full full(long nowNanos) {
+			return new TargetNews.Full(this.announcement, ageMillis(nowNanos));
+		}
+
+		TargetNews.Load load(long nowNanos) {
+			int key = TargetNews.key(this.announcement.target(), this.announcement.incarnation());
+			return new TargetNews.Load(key, this.announcement.sequence(), this.announcement.load(),
+					ageMillis(nowNanos));
+		}
+
+		private int ageMillis(long nowNanos) {
+			return (int) TimeUnit.NANOSECONDS.toMillis(nowNanos - this.heardNanos);
+		}
+
+	}
+
+	/**
+	 * An announcement passed on in full, and the latest of its target.
 	 */
-	private record Passed(Announcement announcement, long sentNanos) {
+	private record Passed(Announcement full, long sentNanos, Heard latest) {
 
 	}
 
--- a/vanillatrestle-wire/src/main/java/org/vanillatrestle/wire/TargetCodec.java
+++ b/vanillatrestle-wire/src/main/java/org/vanillatrestle/wire/TargetCodec.java
@@ -37,7 +37,7 @@
 	 */
 	public static byte[] encode(TargetNews news) {
 		TargetBatch.Builder batch = TargetBatch.newBuilder();
-		news.full().forEach((announcement) -> batch.addTargets(target(announcement)));
+		news.full().forEach((full) -> batch.addTargets(target(full)));
 		if (!news.loads().isEmpty()) {
 			batch.setLoads(loads(news.loads()));
 		}
@@ -53,7 +53,10 @@
 	public static TargetNews decode(byte[] bytes) throws PeerException {
 		try {
 			TargetBatch batch = TargetBatch.parseFrom(bytes);
-			List<Announcement> full = batch.getTargetsList().stream().map(TargetCodec::announcement).toList();
+			List<TargetNews.Full> full = batch.getTargetsList()
+				.stream()
+				.map((target) -> new TargetNews.Full(announcement(target), age(target.getAgeMillis())))
+				.toList();
 			return new TargetNews(full, loads(batch.getLoads()));
 		}
 		catch (InvalidProtocolBufferException | IllegalArgumentException ex) {
@@ -61,7 +64,8 @@
 		}
 	}
 
-	private static Target target(Announcement announcement) {
+	private static Target target(TargetNews.Full full) {
+		Announcement announcement = full.announcement();
 		Target.Builder target = Target.newBuilder()
 			.setTarget(announcement.target().value())
 			.setDataCentre(announcement.dataCentre().value())
@@ -79,7 +83,8 @@
 			.setQueued(announcement.load().queued())
 			.setCacheUsePercent(announcement.load().cacheUsePercent())
 			.setLeaving(announcement.leaving())
-			.setResumes(announcement.resumes());
+			.setResumes(announcement.resumes())
+			.setAgeMillis(full.ageMillis());
 		announcement.models().forEach((model) -> target.addModels(model.value()));
 		if (announcement.customer() != null) {
 			target.setCustomer(announcement.customer().value());
@@ -100,6 +105,13 @@
 				capacity, load, target.getLeaving(), target.getResumes());
 	}
 
+	private static int age(int ageMillis) {
+		if (ageMillis < 0) {
+			throw new IllegalArgumentException("An announcement's age is too high.");
+		}
+		return ageMillis;
+	}
+
 	private static TargetLoads loads(List<TargetNews.Load> loads) {
 		TargetLoads.Builder columns = TargetLoads.newBuilder();
 		for (TargetNews.Load load : loads) {
@@ -107,7 +119,8 @@
 				.addSequences(load.sequence())
 				.addRunning(load.load().running())
 				.addQueued(load.load().queued())
-				.addCacheUsePercents(load.load().cacheUsePercent());
+				.addCacheUsePercents(load.load().cacheUsePercent())
+				.addAgesMillis(load.ageMillis());
 		}
 		return columns.build();
 	}
@@ -115,14 +128,16 @@
 	private static List<TargetNews.Load> loads(TargetLoads columns) {
 		int count = columns.getKeysCount();
 		if (columns.getSequencesCount() != count || columns.getRunningCount() != count
-				|| columns.getQueuedCount() != count || columns.getCacheUsePercentsCount() != count) {
+				|| columns.getQueuedCount() != count || columns.getCacheUsePercentsCount() != count
+				|| columns.getAgesMillisCount() != count) {
 			throw new IllegalArgumentException("The columns of loads have different lengths.");
 		}
 		List<TargetNews.Load> loads = new ArrayList<>(count);
 		for (int i = 0; i < count; i++) {
 			TargetLoad load = new TargetLoad(columns.getRunning(i), columns.getQueued(i),
 					columns.getCacheUsePercents(i));
-			loads.add(new TargetNews.Load(columns.getKeys(i), columns.getSequences(i), load));
+			loads.add(new TargetNews.Load(columns.getKeys(i), columns.getSequences(i), load,
+					age(columns.getAgesMillis(i))));
 		}
 		return loads;
 	}
--- a/vanillatrestle-wire/src/main/java/org/vanillatrestle/wire/TargetNews.java
+++ b/vanillatrestle-wire/src/main/java/org/vanillatrestle/wire/TargetNews.java
@@ -14,7 +14,7 @@
  * @param full announcements in full
  * @param loads the loads of targets that were passed on in full before
  */
-public record TargetNews(List<Announcement> full, List<Load> loads) {
+public record TargetNews(List<Full> full, List<Load> loads) {
 
 	public TargetNews {
 		full = List.copyOf(full);
@@ -32,14 +32,25 @@
 		return (int) (mixed ^ (mixed >>> 32));
 	}
 
+	/**
+	 * An announcement in full.
+	 *
+	 * @param announcement the announcement
+	 * @param ageMillis the time since the target made it, but for the time on links
+	 */
+	public record Full(Announcement announcement, int ageMillis) {
+
+	}
+
 	/**
 	 * The load in a later announcement of a target whose other content did not change.
 	 *
 	 * @param key names target and incarnation
 	 * @param sequence the announcement's number
 	 * @param load the load
+	 * @param ageMillis the time since the target made it, but for the time on links
 	 */
-	public record Load(int key, long sequence, TargetLoad load) {
+	public record Load(int key, long sequence, TargetLoad load, int ageMillis) {
 
 	}
 
