Spread contract changes at once, and wait for a ledger that opens

Change: a VM that has put changes in force tells all linked VMs, which pull and tell theirs; a claim that meets a ledger which is not open asks again for up to five seconds.

--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/contracts/BookContracts.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/contracts/BookContracts.java
@@ -28,6 +28,9 @@
 
 	private final List<ContractListener> listeners = new ArrayList<>();
 
+	private Runnable whenInForce = () -> {
+	};
+
 	/**
 	 * Adds a listener.
 	 * @param listener is told of contracts that come into force
@@ -36,6 +39,14 @@
 		this.listeners.add(listener);
 	}
 
+	/**
+	 * Sets what is run after changes have come into force.
+	 * @param action what to run
+	 */
+	public void whenInForce(Runnable action) {
+		this.whenInForce = action;
+	}
+
 	/**
 	 * Returns the contracts in force.
 	 * @return the view
@@ -94,6 +105,7 @@
 		BookFollower.Intake intake = this.follower.accept(page);
 		if (intake == BookFollower.Intake.IN_FORCE) {
 			tellChanges(before, view());
+			this.whenInForce.run();
 		}
 		return intake;
 	}
--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/ledger/ClaimRun.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/ledger/ClaimRun.java
@@ -73,11 +73,20 @@
 				failed();
 				return;
 			}
+			if (isNotOpenYet(outcome)) {
+				failed();
+				return;
+			}
 			this.unreachableSinceNanos = -1;
 			decided(outcome);
 		});
 	}
 
+	private static boolean isNotOpenYet(LedgerOutcome outcome) {
+		return outcome instanceof LedgerOutcome.NotGranted notGranted
+				&& notGranted.reason() == LedgerOutcome.Refusal.NOT_OPEN;
+	}
+
 	private void failed() {
 		long nowNanos = this.clockNanos.getAsLong();
 		if (this.unreachableSinceNanos < 0) {
--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/node/NodeParts.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/node/NodeParts.java
@@ -195,6 +195,7 @@
 		this.loop.execute(() -> {
 			this.peers.answer(PeerChannel.ONCE, once::answer);
 			this.replicaLinks.start(this.peers);
+			this.contracts.whenInForce(this.peers::bookChanged);
 			this.serving.policyExchange().start(this.peers);
 			startControl();
 		});
--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/peer/PeerService.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/peer/PeerService.java
@@ -1,6 +1,7 @@
 package org.vanillatrestle.daemon.internal.peer;
 
 import java.net.InetSocketAddress;
+import java.nio.ByteBuffer;
 import java.util.ArrayList;
 import java.util.EnumMap;
 import java.util.HashMap;
@@ -216,6 +217,23 @@
 		this.neighbours.want(dataCentre);
 	}
 
+	/**
+	 * Tells every linked VM at once how far this VM's contract book is in force. Each VM
+	 * that pulls the change tells its own peers in turn, so news does not wait for the
+	 * next heartbeat or summary.
+	 */
+	public void bookChanged() {
+		byte[] index = ByteBuffer.allocate(Long.BYTES).putLong(this.book.appliedIndex()).array();
+		this.linked.keySet().forEach((vm) -> this.node.send(vm, PeerChannel.BOOK, index));
+	}
+
+	private void receiveBookIndex(PeerIdentity sender, byte[] payload) throws PeerException {
+		if (payload.length != Long.BYTES) {
+			throw new PeerException(PeerException.Reason.PROTOCOL, "An index of the contract book has eight bytes.");
+		}
+		this.puller.heard(sender.vm(), ByteBuffer.wrap(payload).getLong());
+	}
+
 	/**
 	 * Runs something on the event loop, after what runs now.
 	 * @param action what to run
@@ -263,6 +281,7 @@
 		receive(PeerChannel.MEMBERSHIP, this::receiveGossip);
 		receive(PeerChannel.SUMMARY, this::receiveSummary);
 		receive(PeerChannel.TARGETS, this::receiveTargets);
+		receive(PeerChannel.BOOK, this::receiveBookIndex);
 		answer(PeerChannel.BOOK, this.puller::answer);
 	}
 
