--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/peer/PeerService.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/peer/PeerService.java
@@ -2,7 +2,6 @@
 
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
-import java.util.EnumMap;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -81,9 +80,7 @@
 
 	private final Map<VmId, PeerIdentity> linked = new HashMap<>();
 
-	private final Map<PeerChannel, DatagramReceiver> datagramReceivers = new EnumMap<>(PeerChannel.class);
-
-	private final Map<PeerChannel, CallReceiver> callReceivers = new EnumMap<>(PeerChannel.class);
+	private final PeerChannels channels = new PeerChannels();
 
 	private Membership membership;
 
@@ -230,7 +227,7 @@
 	 * @param receiver the receiver
 	 */
 	public void receive(PeerChannel channel, DatagramReceiver receiver) {
-		this.datagramReceivers.put(channel, receiver);
+		this.channels.receive(channel, receiver);
 	}
 
 	/**
@@ -239,7 +236,7 @@
 	 * @param receiver the receiver
 	 */
 	public void answer(PeerChannel channel, CallReceiver receiver) {
-		this.callReceivers.put(channel, receiver);
+		this.channels.answer(channel, receiver);
 	}
 
 	/**
@@ -298,9 +295,7 @@
 	}
 
 	private void broadcastTargets(byte[] payload) {
-		for (MemberRecord member : this.membership.present()) {
-			this.node.send(member.vm(), PeerChannel.TARGETS, payload);
-		}
+		this.membership.present().forEach((member) -> this.node.send(member.vm(), PeerChannel.TARGETS, payload));
 	}
 
 	private void receiveGossip(PeerIdentity sender, byte[] payload) throws PeerException {
@@ -318,11 +313,10 @@
 	private void receiveSummary(PeerIdentity sender, byte[] payload) throws PeerException {
 		SummaryMessage message = MembershipCodec.decodeSummary(payload);
 		this.summaries.receive(new SummaryMessage(sender.dataCentre(), message.entries()), System.nanoTime());
-		for (SummaryMessage.Entry entry : message.entries()) {
-			if (entry.summary().dataCentre().equals(sender.dataCentre())) {
-				this.puller.heard(sender.vm(), entry.summary().appliedIndex());
-			}
-		}
+		message.entries()
+			.stream()
+			.filter((entry) -> entry.summary().dataCentre().equals(sender.dataCentre()))
+			.forEach((entry) -> this.puller.heard(sender.vm(), entry.summary().appliedIndex()));
 	}
 
 	private void receiveTargets(PeerIdentity sender, byte[] payload) throws PeerException {
@@ -356,42 +350,20 @@
 
 		@Override
 		public void onDisconnected(PeerIdentity peer) {
-			PeerService service = PeerService.this;
-			service.linked.remove(peer.vm());
-			service.puller.lost(peer.vm());
-			service.summaries.linkLost(peer.vm());
-			service.membership.linkLost(peer.vm(), System.nanoTime());
+			PeerService.this.linked.remove(peer.vm());
+			PeerService.this.puller.lost(peer.vm());
+			PeerService.this.summaries.linkLost(peer.vm());
+			PeerService.this.membership.linkLost(peer.vm(), System.nanoTime());
 		}
 
 		@Override
 		public void onDatagram(VmId sender, PeerChannel channel, byte[] payload) {
-			DatagramReceiver receiver = PeerService.this.datagramReceivers.get(channel);
-			PeerIdentity peer = PeerService.this.linked.get(sender);
-			if (receiver == null || peer == null) {
-				return;
-			}
-			try {
-				receiver.receive(peer, payload);
-			}
-			catch (PeerException ex) {
-				logger.warnf("Peer: dropped a message of %s. %s", sender, ex.getMessage());
-			}
+			PeerService.this.channels.datagram(PeerService.this.linked.get(sender), channel, payload);
 		}
 
 		@Override
 		public CompletableFuture<byte[]> onCall(VmId sender, PeerChannel channel, byte[] payload) {
-			CallReceiver receiver = PeerService.this.callReceivers.get(channel);
-			PeerIdentity peer = PeerService.this.linked.get(sender);
-			if (receiver == null || peer == null) {
-				return CompletableFuture
-					.failedFuture(new PeerException(PeerException.Reason.REFUSED, "Nobody answers " + channel + "."));
-			}
-			try {
-				return receiver.answer(peer, payload);
-			}
-			catch (PeerException ex) {
-				return CompletableFuture.failedFuture(ex);
-			}
+			return PeerService.this.channels.call(PeerService.this.linked.get(sender), channel, payload);
 		}
 
 	}
