Measure the spread of contract changes; end retries at once where no target is left

Spread over regions was not measured, and VMs went around delayed links by addresses they told each other. Change: a retry without an untried target ends at once; the setting advertisePeerAddress; the bench's command spread, and the other measurements as its subcommands.

--- a/vanillatrestle-bench/src/main/java/org/vanillatrestle/bench/Bench.java
+++ b/vanillatrestle-bench/src/main/java/org/vanillatrestle/bench/Bench.java
@@ -7,10 +7,17 @@
 import org.apache.commons.cli.ParseException;
 import org.vanillatrestle.bench.internal.command.DemoCommand;
 import org.vanillatrestle.bench.internal.command.EngineCommand;
+import org.vanillatrestle.bench.internal.command.ExperimentSubcommand;
 import org.vanillatrestle.bench.internal.command.LatencyCommand;
 import org.vanillatrestle.bench.internal.command.LoadCommand;
+import org.vanillatrestle.bench.internal.command.MeasureCommand;
 import org.vanillatrestle.bench.internal.command.ServiceCommand;
 import org.vanillatrestle.bench.internal.command.SettingsCommand;
+import org.vanillatrestle.bench.internal.log.LogBenchmark;
+import org.vanillatrestle.bench.internal.peer.IdleCost;
+import org.vanillatrestle.bench.internal.peer.LinkCost;
+import org.vanillatrestle.bench.internal.spread.SpreadBenchmark;
+import org.vanillatrestle.bench.internal.state.StateBench;
 
 /**
  * The bench's main class, which hands over to a subcommand.
@@ -20,7 +27,14 @@
 public final class Bench {
 
 	private static final List<BenchCommand> COMMANDS = List.of(new EngineCommand(), new ServiceCommand(),
-			new LoadCommand(), new SettingsCommand(), new LatencyCommand(), new DemoCommand());
+			new LoadCommand(), new SettingsCommand(), new LatencyCommand(), new DemoCommand(),
+			new ExperimentSubcommand(),
+			new MeasureCommand("spread", "measures how fast contract changes are in force everywhere",
+					SpreadBenchmark::run),
+			new MeasureCommand("log", "measures the replicated log: FOLDER MILLIS", LogBenchmark::run),
+			new MeasureCommand("state", "measures contract book and once ledger", StateBench::main),
+			new MeasureCommand("peer-idle", "measures what an idle VM sends", IdleCost::main),
+			new MeasureCommand("peer-link", "measures forwarded requests over one link", LinkCost::main));
 
 	private Bench() {
 	}
--- a/vanillatrestle-bench/src/main/java/org/vanillatrestle/bench/internal/deployment/DeploymentPlan.java
+++ b/vanillatrestle-bench/src/main/java/org/vanillatrestle/bench/internal/deployment/DeploymentPlan.java
@@ -102,19 +102,26 @@
 	 * @throws IOException if a file can't be written
 	 */
 	public void write(Path folder) throws IOException {
-		write(folder, (fromRegion, vm) -> vm.peer());
+		write(folder, (fromRegion, vm) -> vm.peer(), true);
 	}
 
 	/**
 	 * Writes the settings file of each VM.
 	 * @param folder the folder that gets the files
-	 * @param peerAddresses gives where the VMs of a region reach another VM
+	 * @param peerAddresses gives where the VMs of a region reach another VM; no other way
+	 * is told
 	 * @throws IOException if a file can't be written
 	 */
 	public void write(Path folder, BiFunction<String, VmPlan, String> peerAddresses) throws IOException {
+		write(folder, peerAddresses, false);
+	}
+
+	private void write(Path folder, BiFunction<String, VmPlan, String> peerAddresses, boolean direct)
+			throws IOException {
 		Files.createDirectories(folder);
 		for (VmPlan vm : this.vms) {
 			ObjectNode settings = settings(vm, (other) -> peerAddresses.apply(vm.region(), other));
+			settings.put("advertisePeerAddress", direct);
 			Files.writeString(settingsFile(folder, vm), MAPPER.writeValueAsString(settings) + "\n");
 		}
 	}
--- /dev/null
+++ b/vanillatrestle-bench/src/main/java/org/vanillatrestle/bench/internal/spread/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * How fast contract changes are in force everywhere.
+ */
+package org.vanillatrestle.bench.internal.spread;
--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/node/NodeParts.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/node/NodeParts.java
@@ -63,6 +63,8 @@
 
 	private static final long BOARD_PERIOD_MILLIS = 500;
 
+	private static final String NO_ADDRESS = "none";
+
 	private final Settings settings;
 
 	private final EventLoop loop;
@@ -150,6 +152,9 @@
 	private PeerService newPeerService() throws IOException {
 		VmSettings self = this.settings.self();
 		String address = (self.peer().port() != 0) ? self.peer().toString() : "";
+		if (!this.settings.advertisePeerAddress()) {
+			address = NO_ADDRESS;
+		}
 		PeerIdentity identity = new PeerIdentity(self.vm(), self.dataCentre(), self.region(), this.incarnation,
 				address);
 		TlsSettings tls = this.settings.peerTls()
--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/pipeline/DispatchRun.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/pipeline/DispatchRun.java
@@ -121,6 +121,10 @@
 	}
 
 	private void retry(String lastFailure) {
+		if (this.attempts.place() instanceof Placement.None) {
+			failUnlessDone(Refusals.targetBroke(lastFailure, this.verdict));
+			return;
+		}
 		this.admission.again(this.exchange, () -> attempt(lastFailure),
 				() -> failUnlessDone(Refusals.targetBroke(lastFailure, this.verdict)));
 	}
--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/settings/Settings.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/settings/Settings.java
@@ -29,6 +29,8 @@
 
 	private final TlsFiles peerTls;
 
+	private final boolean advertisePeerAddress;
+
 	private final LogFormat logFormat;
 
 	private final String logLevel;
@@ -47,6 +49,7 @@
 		this.targetSecretSha256 = builder.targetSecretSha256;
 		this.httpLimits = builder.httpLimits;
 		this.peerTls = builder.peerTls;
+		this.advertisePeerAddress = builder.advertisePeerAddress;
 		this.logFormat = builder.logFormat;
 		this.logLevel = builder.logLevel;
 		this.targetTtlMillis = builder.targetTtlMillis;
@@ -137,6 +140,15 @@
 		return Optional.ofNullable(this.peerTls);
 	}
 
+	/**
+	 * Tells whether other VMs are told this VM's own peer address. If not, they reach it
+	 * at the address that their settings name, for example through a relay.
+	 * @return whether to tell it
+	 */
+	public boolean advertisePeerAddress() {
+		return this.advertisePeerAddress;
+	}
+
 	public LogFormat logFormat() {
 		return this.logFormat;
 	}
@@ -180,6 +192,8 @@
 
 		private TlsFiles peerTls;
 
+		private boolean advertisePeerAddress = true;
+
 		private LogFormat logFormat = LogFormat.TEXT;
 
 		private String logLevel = "INFO";
@@ -220,6 +234,11 @@
 			return this;
 		}
 
+		public Builder advertisePeerAddress(boolean advertisePeerAddress) {
+			this.advertisePeerAddress = advertisePeerAddress;
+			return this;
+		}
+
 		public Builder logFormat(LogFormat logFormat) {
 			this.logFormat = logFormat;
 			return this;
--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/settings/SettingsReader.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/settings/SettingsReader.java
@@ -75,6 +75,7 @@
 			.targetTtlMillis(top.integer("targetTtlMillis", 100, 5_000, 4_000))
 			.shutdownGraceMillis(top.integer("shutdownGraceMillis", 0, MAX_MILLIS, 30_000))
 			.transferPriceMicrosPerMegabyte(top.integer("transferPriceMicrosPerMegabyte", 0, Integer.MAX_VALUE, 0));
+		builder.advertisePeerAddress(top.bool("advertisePeerAddress", true));
 		readDataFolder(top, folder, self, builder);
 		readHttpLimits(top, builder);
 		readPeerTls(top, folder, builder);
