Keep the links between replicas whatever duties change

Cause: with two or more VMs in a region the contract book lost its leader seconds after the start: the links between CONTROL VMs were closed as soon as the duty to talk to that data centre fell to another VM (seen when the spread over eight VMs was measured: no leader for 20 s). Ruled out: the delayed links themselves, which carried heartbeats. Change: links between CONTROL VMs are kept always; a test of the decision. Conclusion: NeighboursTests fails without the change.

--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/node/NodeParts.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/node/NodeParts.java
@@ -217,7 +217,7 @@
 		this.peers.receive(PeerChannel.STATUS, this.vmNotes::receive);
 		for (VmSettings vm : this.settings.withRole(Role.CONTROL)) {
 			if (!vm.vm().equals(this.settings.self().vm())) {
-				this.peers.node().connect(vm.peer().toSocketAddress());
+				this.peers.keepLink(vm.peer().toSocketAddress());
 			}
 		}
 	}
--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/peer/Neighbours.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/peer/Neighbours.java
@@ -5,13 +5,15 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Consumer;
+import java.util.function.Supplier;
 import java.util.stream.Stream;
 
 import io.netty.util.NetUtil;
 import org.vanillatrestle.DataCentreId;
 import org.vanillatrestle.internal.membership.DataCentreSummary;
 import org.vanillatrestle.internal.membership.MemberRecord;
-import org.vanillatrestle.wire.PeerNode;
+import org.vanillatrestle.wire.PeerIdentity;
 
 /**
  * Decides to which addresses the VM keeps links.
@@ -25,19 +27,44 @@
 
 	private static final int CONTACTS_PER_DATA_CENTRE = 2;
 
-	private final PeerNode node;
+	private final Supplier<PeerIdentity> self;
+
+	private final Consumer<InetSocketAddress> connect;
+
+	private final Consumer<InetSocketAddress> disconnect;
 
 	private final List<Seed> seeds;
 
+	private final Set<InetSocketAddress> always = new HashSet<>();
+
 	private final Set<DataCentreId> wanted = new HashSet<>();
 
 	private Set<InetSocketAddress> kept = Set.of();
 
-	Neighbours(PeerNode node, List<Seed> seeds) {
-		this.node = node;
+	/**
+	 * Creates the decision.
+	 * @param self gives who this VM is
+	 * @param connect keeps a link to an address from now on
+	 * @param disconnect gives a link up
+	 * @param seeds the VMs named in settings
+	 */
+	Neighbours(Supplier<PeerIdentity> self, Consumer<InetSocketAddress> connect, Consumer<InetSocketAddress> disconnect,
+			List<Seed> seeds) {
+		this.self = self;
+		this.connect = connect;
+		this.disconnect = disconnect;
 		this.seeds = seeds;
 	}
 
+	/**
+	 * Keeps a link to an address, whatever duties there are.
+	 * @param address where the VM accepts links
+	 */
+	void keep(InetSocketAddress address) {
+		this.always.add(address);
+		this.connect.accept(address);
+	}
+
 	void want(DataCentreId dataCentre) {
 		this.wanted.add(dataCentre);
 	}
@@ -49,25 +76,25 @@
 	 * @param summaries what other data centres say of themselves
 	 */
 	void update(List<MemberRecord> members, List<DataCentreId> duties, List<DataCentreSummary> summaries) {
-		Set<InetSocketAddress> needed = new HashSet<>();
+		Set<InetSocketAddress> needed = new HashSet<>(this.always);
 		addOwn(members, needed);
 		Set<DataCentreId> remote = new HashSet<>(duties);
 		remote.addAll(this.wanted);
 		for (DataCentreId dataCentre : remote) {
 			addRemote(dataCentre, summaries, needed);
 		}
-		this.kept.stream().filter((address) -> !needed.contains(address)).forEach(this.node::disconnect);
-		needed.forEach(this.node::connect);
+		this.kept.stream().filter((address) -> !needed.contains(address)).forEach(this.disconnect);
+		needed.forEach(this.connect);
 		this.kept = needed;
 	}
 
 	private void addOwn(List<MemberRecord> members, Set<InetSocketAddress> needed) {
-		DataCentreId own = this.node.self().dataCentre();
+		DataCentreId own = this.self.get().dataCentre();
 		this.seeds.stream()
 			.filter((seed) -> seed.dataCentre().equals(own))
 			.forEach((seed) -> needed.add(seed.address()));
 		members.stream()
-			.filter((member) -> this.node.self().vm().compareTo(member.vm()) < 0)
+			.filter((member) -> this.self.get().vm().compareTo(member.vm()) < 0)
 			.forEach((member) -> address(member.address()).ifPresent(needed::add));
 	}
 
--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/peer/PeerService.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/peer/PeerService.java
@@ -116,7 +116,7 @@
 				random);
 		this.puller = new BookPuller(this.node, book, random);
 		this.targets = new TargetExchange(registry, this::broadcastTargets);
-		this.neighbours = new Neighbours(this.node, settings.seeds());
+		this.neighbours = new Neighbours(this.node::self, this.node::connect, this.node::disconnect, settings.seeds());
 		registerOwnChannels();
 	}
 
@@ -206,6 +206,14 @@
 		return Optional.ofNullable(this.linked.get(vm));
 	}
 
+	/**
+	 * Keeps a link to a VM, whatever duties this VM has, as the replicas of a group need.
+	 * @param address where the VM accepts links
+	 */
+	public void keepLink(InetSocketAddress address) {
+		this.neighbours.keep(address);
+	}
+
 	/**
 	 * Asks for links to a data centre, as needed for forwarded requests.
 	 * @param dataCentre the data centre
--- /dev/null
+++ b/vanillatrestle-daemon/src/test/java/org/vanillatrestle/daemon/internal/peer/NeighboursTests.java
@@ -0,0 +1,56 @@
+package org.vanillatrestle.daemon.internal.peer;
+
+import java.net.InetSocketAddress;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+
+import org.junit.jupiter.api.Test;
+import org.vanillatrestle.DataCentreId;
+import org.vanillatrestle.RegionId;
+import org.vanillatrestle.VmId;
+import org.vanillatrestle.wire.PeerIdentity;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Tests for {@link Neighbours}.
+ */
+class NeighboursTests {
+
+	private static final PeerIdentity SELF = new PeerIdentity(new VmId("vm-1"), new DataCentreId("dc-a"),
+			new RegionId("a"), 1, "127.0.0.1:1");
+
+	private static final DataCentreId OTHER = new DataCentreId("dc-b");
+
+	private static final InetSocketAddress OTHER_VM = new InetSocketAddress("127.0.0.2", 2);
+
+	private final Set<InetSocketAddress> links = new HashSet<>();
+
+	private final Neighbours neighbours = new Neighbours(() -> SELF, this.links::add, this.links::remove,
+			List.of(new Seed(OTHER_VM, OTHER, new RegionId("b"))));
+
+	@Test
+	void shouldGiveUpLinksWhoseDutyHasGone() {
+		this.neighbours.update(List.of(), List.of(OTHER), List.of());
+		assertThat(this.links).containsExactly(OTHER_VM);
+		this.neighbours.update(List.of(), List.of(), List.of());
+		assertThat(this.links).isEmpty();
+	}
+
+	@Test
+	void shouldKeepLinksOfReplicasWhenDutiesGo() {
+		this.neighbours.keep(OTHER_VM);
+		this.neighbours.update(List.of(), List.of(OTHER), List.of());
+		this.neighbours.update(List.of(), List.of(), List.of());
+		assertThat(this.links).containsExactly(OTHER_VM);
+	}
+
+	@Test
+	void shouldLinkToDataCentresThatAreWanted() {
+		this.neighbours.want(OTHER);
+		this.neighbours.update(List.of(), List.of(), List.of());
+		assertThat(this.links).containsExactly(OTHER_VM);
+	}
+
+}
