--- a/vanillatrestle-bench/src/test/java/org/vanillatrestle/bench/matrix/MatrixFault.java
+++ b/vanillatrestle-bench/src/test/java/org/vanillatrestle/bench/matrix/MatrixFault.java
@@ -23,8 +23,8 @@
 	TARGET_ANSWERS_SHORT(EnumSet.of(Step.ANSWER_FRAME, Step.ANSWER_END),
 			"a target is only met from dispatch to answer"),
 
-	CALLER_IS_WRONG(EnumSet.of(Step.AUTHENTICATE, Step.CONTRACT, Step.CLASSIFY, Step.REGION, Step.CLAIM, Step.SELECT),
-			"a caller's error ends at the first filter that sees it"),
+	CALLER_IS_WRONG(EnumSet.of(Step.AUTHENTICATE, Step.CONTRACT, Step.CLASSIFY, Step.CLAIM, Step.SELECT),
+			"a caller's error ends at the first filter that sees it; a forbidden region needs several, see ThreeRegionTests"),
 
 	CALLER_VANISHES(EnumSet.of(Step.DISPATCH, Step.ANSWER_FRAME, Step.RECORD),
 			"earlier steps run at once, without a wait in which the caller could vanish"),
