Refuse at once when no target has been reachable for two seconds

Cause: when every target of a pool was unreachable, a request waited in the queue to half its deadline and more; four cases of the fault matrix (targets gone, second request) had no answer within 20 s. Callers should be told when to come back instead. Change: a pool remembers since when it has had no target; after two seconds arrivals are refused with NO_TARGET and those that wait are given up.

--- a/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/admission/PoolQueue.java
+++ b/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/admission/PoolQueue.java
@@ -143,6 +143,21 @@
 		return result;
 	}
 
+	/**
+	 * Gives up every request that waits.
+	 * @param refusal why
+	 * @return the tickets, all refused
+	 */
+	public List<ReadyTicket> giveUpAll(Admission.Refused refusal) {
+		List<ReadyTicket> result = new ArrayList<>();
+		while (!this.queue.isEmpty()) {
+			Ticket next = this.queue.peek().orElseThrow();
+			this.queue.drop();
+			result.add(new ReadyTicket(next, Optional.of(refusal)));
+		}
+		return result;
+	}
+
 	private double maxWaitNanos(PolicyRequest request, long leftNanos) {
 		double maxNanos = leftNanos * (this.settings.maxWaitPercent() / 100.0);
 		return request.forwarded() ? Math.min(maxNanos, this.settings.maxForwardedWaitNanos()) : maxNanos;
--- a/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/policy/Dispatcher.java
+++ b/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/policy/Dispatcher.java
@@ -34,6 +34,8 @@
 
 	private static final long RETRY_MILLIS = 1_000;
 
+	private static final long OUTAGE_WAIT_NANOS = 2_000_000_000;
+
 	private static final double TOKENS_PER_PRICE = 1_000;
 
 	private final AdmissionSettings settings;
@@ -64,7 +66,7 @@
 			queue.admit(ticket);
 			return new Admission.Admitted(ticket);
 		}
-		if (!pool.wasSeen()) {
+		if (!pool.wasSeen() || pool.outageNanos(nowNanos) > OUTAGE_WAIT_NANOS) {
 			return new Admission.Refused(RefusalReason.NO_TARGET, RETRY_MILLIS);
 		}
 		return queue.offer(ticket, drain(pool), nowNanos);
@@ -79,8 +81,11 @@
 		List<ReadyTicket> result = new ArrayList<>();
 		this.queues.forEach((key, queue) -> {
 			if (queue.hasWork()) {
-				PoolQueue.Drain drain = drain(this.selector.pool(key, nowNanos));
-				result.addAll(queue.ready((request) -> canStart(request, queue, nowNanos), drain, nowNanos));
+				Pool pool = this.selector.pool(key, nowNanos);
+				result.addAll(queue.ready((request) -> canStart(request, queue, nowNanos), drain(pool), nowNanos));
+				if (pool.outageNanos(nowNanos) > OUTAGE_WAIT_NANOS) {
+					result.addAll(queue.giveUpAll(new Admission.Refused(RefusalReason.NO_TARGET, RETRY_MILLIS)));
+				}
 			}
 		});
 		return result;
--- a/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/select/Pool.java
+++ b/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/select/Pool.java
@@ -54,6 +54,10 @@
 
 	private long minPriceMicros;
 
+	private boolean empty;
+
+	private long emptySinceNanos;
+
 	Pool(PoolKey key) {
 		this.key = key;
 	}
@@ -115,6 +119,7 @@
 			this.outstanding += candidate.ejected() ? 0 : candidate.outstanding();
 		}
 		this.maxSlots = Math.max(this.maxSlots, this.slots);
+		noteOutage(nowNanos);
 	}
 
 	private double maxRamp(SelectSettings settings, long nowNanos) {
@@ -175,6 +180,22 @@
 		return this.slots < 1;
 	}
 
+	private void noteOutage(long nowNanos) {
+		if (isEmpty() && !this.empty) {
+			this.emptySinceNanos = nowNanos;
+		}
+		this.empty = isEmpty();
+	}
+
+	/**
+	 * Returns for how long no target could be reached.
+	 * @param nowNanos the monotonic time in nanoseconds
+	 * @return nanoseconds, 0 while some target can be reached
+	 */
+	public long outageNanos(long nowNanos) {
+		return this.empty ? nowNanos - this.emptySinceNanos : 0;
+	}
+
 	/**
 	 * Tells whether the pool had targets before.
 	 * @return whether it ever had
