--- a/vanillatrestle-bench/src/main/java/org/vanillatrestle/bench/internal/experiment/ExperimentCommand.java
+++ b/vanillatrestle-bench/src/main/java/org/vanillatrestle/bench/internal/experiment/ExperimentCommand.java
@@ -62,8 +62,13 @@
 				return line.hasOption("help") ? EXIT_OK : EXIT_USAGE;
 			}
 			Experiment experiment = ExperimentReader.read(Files.readString(Path.of(line.getOptionValue("file"))));
-			Report report = new Report(experiment,
-					cells(experiment, line.getOptionValue("scene"), line.getOptionValue("policy")));
+			List<CellResult> cells = cells(experiment, line.getOptionValue("scene"), line.getOptionValue("policy"));
+			if (cells.isEmpty()) {
+				throw new ParseException("the file has no such scene or policy; its scenes are "
+						+ experiment.scenes().stream().map(Scene::name).toList() + ", its policies "
+						+ experiment.policies());
+			}
+			Report report = new Report(experiment, cells);
 			this.out.print(report.text(PRINTED));
 			if (line.hasOption("output")) {
 				write(Path.of(line.getOptionValue("output")), experiment, report);
