Split the peer service: the data centre's summary and the book's news

Change: LocalSummary sums the data centre up, BookPuller tells and takes indexes; an accessor that nobody used is gone. Behaviour is as before.

--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/peer/BookPuller.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/peer/BookPuller.java
@@ -1,6 +1,8 @@
 package org.vanillatrestle.daemon.internal.peer;
 
+import java.nio.ByteBuffer;
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -57,6 +59,28 @@
 		pull();
 	}
 
+	/**
+	 * Tells VMs how far this VM is.
+	 * @param vms the VMs
+	 */
+	void tell(Collection<VmId> vms) {
+		byte[] index = ByteBuffer.allocate(Long.BYTES).putLong(this.book.appliedIndex()).array();
+		vms.forEach((vm) -> this.node.send(vm, PeerChannel.BOOK, index));
+	}
+
+	/**
+	 * Takes what another VM told of itself.
+	 * @param sender the VM
+	 * @param payload the index, as eight bytes
+	 * @throws PeerException if the payload is no index
+	 */
+	void receiveIndex(PeerIdentity sender, byte[] payload) throws PeerException {
+		if (payload.length != Long.BYTES) {
+			throw new PeerException(PeerException.Reason.PROTOCOL, "An index of the contract book has eight bytes.");
+		}
+		heard(sender.vm(), ByteBuffer.wrap(payload).getLong());
+	}
+
 	void lost(VmId vm) {
 		this.heard.remove(vm);
 	}
--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/peer/PeerService.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/peer/PeerService.java
@@ -1,8 +1,6 @@
 package org.vanillatrestle.daemon.internal.peer;
 
 import java.net.InetSocketAddress;
-import java.nio.ByteBuffer;
-import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -20,7 +18,6 @@
 import org.vanillatrestle.DataCentreId;
 import org.vanillatrestle.VmId;
 import org.vanillatrestle.internal.membership.CapacityRow;
-import org.vanillatrestle.internal.membership.DataCentreSummary;
 import org.vanillatrestle.internal.membership.Gossip;
 import org.vanillatrestle.internal.membership.MemberRecord;
 import org.vanillatrestle.internal.membership.MemberStatus;
@@ -57,8 +54,6 @@
 
 	private static final int TICKS_PER_FLUSH = 8;
 
-	private static final int CONTACTS = 2;
-
 	private final EventLoop loop;
 
 	private final PeerServiceSettings settings;
@@ -77,7 +72,7 @@
 
 	private final Neighbours neighbours;
 
-	private final Supplier<List<CapacityRow>> capacity;
+	private final LocalSummary localSummary;
 
 	private final Map<VmId, PeerIdentity> linked = new HashMap<>();
 
@@ -109,12 +104,12 @@
 		this.loop = loop;
 		this.settings = settings;
 		this.book = book;
-		this.capacity = capacity;
 		this.events = events;
 		this.random = random;
 		this.node = new PeerNode(loop, settings.link(), settings.tls(), new Links(), forwardHandler, book::appliedIndex,
 				random);
 		this.puller = new BookPuller(this.node, book, random);
+		this.localSummary = new LocalSummary(this.node, book, capacity);
 		this.targets = new TargetExchange(registry, this::broadcastTargets);
 		this.neighbours = new Neighbours(this.node::self, this.node::connect, this.node::disconnect, settings.seeds());
 		registerOwnChannels();
@@ -228,15 +223,7 @@
 	 * next heartbeat or summary.
 	 */
 	public void bookChanged() {
-		byte[] index = ByteBuffer.allocate(Long.BYTES).putLong(this.book.appliedIndex()).array();
-		this.linked.keySet().forEach((vm) -> this.node.send(vm, PeerChannel.BOOK, index));
-	}
-
-	private void receiveBookIndex(PeerIdentity sender, byte[] payload) throws PeerException {
-		if (payload.length != Long.BYTES) {
-			throw new PeerException(PeerException.Reason.PROTOCOL, "An index of the contract book has eight bytes.");
-		}
-		this.puller.heard(sender.vm(), ByteBuffer.wrap(payload).getLong());
+		this.puller.tell(this.linked.keySet());
 	}
 
 	/**
@@ -286,7 +273,7 @@
 		receive(PeerChannel.MEMBERSHIP, this::receiveGossip);
 		receive(PeerChannel.SUMMARY, this::receiveSummary);
 		receive(PeerChannel.TARGETS, this::receiveTargets);
-		receive(PeerChannel.BOOK, this::receiveBookIndex);
+		receive(PeerChannel.BOOK, this.puller::receiveIndex);
 		answer(PeerChannel.BOOK, this.puller::answer);
 	}
 
@@ -306,7 +293,7 @@
 	private void tick() {
 		long nowNanos = System.nanoTime();
 		this.membership.tick(nowNanos, this.book.appliedIndex());
-		this.summaries.tick(nowNanos, this::localSummary);
+		this.summaries.tick(nowNanos, () -> this.localSummary.build(this.membership));
 		this.puller.pull();
 		if (this.ticks++ % TICKS_PER_FLUSH != 0) {
 			return;
@@ -316,19 +303,6 @@
 		this.neighbours.update(this.membership.remembered(), this.summaries.duties(), this.summaries.summaries());
 	}
 
-	private DataCentreSummary localSummary() {
-		PeerIdentity self = this.node.self();
-		List<MemberRecord> members = new ArrayList<>(this.membership.present());
-		members.add(this.membership.self());
-		List<String> contacts = members.stream()
-			.sorted((one, other) -> one.vm().compareTo(other.vm()))
-			.limit(CONTACTS)
-			.map(MemberRecord::address)
-			.toList();
-		return new DataCentreSummary(self.dataCentre(), self.region(), this.book.appliedIndex(), contacts,
-				this.capacity.get());
-	}
-
 	private void broadcastTargets(byte[] payload) {
 		this.membership.present().forEach((member) -> this.node.send(member.vm(), PeerChannel.TARGETS, payload));
 	}
--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/pipeline/Exchange.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/pipeline/Exchange.java
@@ -240,10 +240,6 @@
 		return this.ended;
 	}
 
-	public boolean isHeadSent() {
-		return this.headSent;
-	}
-
 	public boolean isWritable() {
 		return this.sink.isWritable();
 	}
