--- a/vanillatrestle-bench/src/main/java/org/vanillatrestle/bench/internal/log/LocalGroup.java
+++ b/vanillatrestle-bench/src/main/java/org/vanillatrestle/bench/internal/log/LocalGroup.java
@@ -62,8 +62,8 @@
 		OpenMode mode = first;
 		for (VmId vm : vms) {
 			LogStorage storage = LogStorage.open(new FolderFiles(folder.resolve(vm.value())), vm, mode);
-			group.start(vm, storage,
-					new ReplicaSettings(LogSettings.defaults(), vms, batchLimit, 1 << 16, WAITING_BYTES));
+			group.start(vm, storage, new ReplicaSettings(LogSettings.defaults(), vms, Integer.MAX_VALUE, batchLimit,
+					1 << 16, WAITING_BYTES));
 			mode = OpenMode.JOIN_IF_EMPTY;
 		}
 		while (group.leader().status().membership().voters().size() < vms.size()) {
--- /dev/null
+++ b/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/fleet/ServiceWait.java
@@ -0,0 +1,15 @@
+package org.vanillatrestle.internal.fleet;
+
+import org.vanillatrestle.ServiceName;
+
+/**
+ * How soon a VM could serve one more request of a service.
+ * <p>
+ * Immutable and thread safe.
+ *
+ * @param service the service
+ * @param waitMillis the estimated time until the answer begins, -1 if it has no target
+ * with room
+ */
+public record ServiceWait(ServiceName service, long waitMillis) {
+}
--- /dev/null
+++ b/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/fleet/TargetTable.java
@@ -0,0 +1,138 @@
+package org.vanillatrestle.internal.fleet;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+
+import org.vanillatrestle.TargetId;
+import org.vanillatrestle.internal.target.TargetAddress;
+
+/**
+ * The targets known to a VM, merged from reports that may come late, twice and out of
+ * order.
+ * <p>
+ * Invariants: an incarnation that is gone never comes back; of two targets at one address
+ * only the one that started last is not gone. Not thread safe.
+ */
+public final class TargetTable {
+
+	/**
+	 * How long an incarnation that is gone is remembered, so that a late report of it is
+	 * recognised.
+	 */
+	private static final long MEMORY_NANOS = TimeUnit.MINUTES.toNanos(5);
+
+	private final Map<TargetId, Row> rows = new HashMap<>();
+
+	private final Map<TargetAddress, TargetId> byAddress = new HashMap<>();
+
+	/**
+	 * Takes a report.
+	 * @param report the report
+	 * @param nowNanos the monotonic time
+	 * @return the reports that changed what is known, in the order of the changes
+	 */
+	public List<TargetReport> merge(TargetReport report, long nowNanos) {
+		Row row = this.rows.get(report.target());
+		if (row != null && isOutdated(row.report, report)) {
+			return List.of();
+		}
+		List<TargetReport> changes = new ArrayList<>();
+		TargetReport kept = report;
+		if (report.condition() != TargetCondition.GONE && !claimAddress(report, nowNanos, changes)) {
+			kept = report.with(TargetCondition.GONE);
+		}
+		boolean changed = row == null || isChange(row, kept, nowNanos);
+		if (row != null && !row.report.address().equals(kept.address())) {
+			this.byAddress.remove(row.report.address(), report.target());
+		}
+		this.rows.put(report.target(), new Row(kept, nowNanos));
+		if (kept.condition() == TargetCondition.GONE) {
+			this.byAddress.remove(kept.address(), kept.target());
+		}
+		if (changed) {
+			changes.add(kept);
+		}
+		return changes;
+	}
+
+	private static boolean isOutdated(TargetReport known, TargetReport report) {
+		if (known.bornMillis() == report.bornMillis()) {
+			boolean leaves = report.condition() == TargetCondition.GONE;
+			return known.condition() == TargetCondition.GONE || (report.isOlderThan(known) && !leaves);
+		}
+		return report.isOlderThan(known);
+	}
+
+	private boolean claimAddress(TargetReport report, long nowNanos, List<TargetReport> changes) {
+		TargetId holder = this.byAddress.get(report.address());
+		if (holder != null && !holder.equals(report.target())) {
+			TargetReport other = this.rows.get(holder).report;
+			if (other.bornMillis() > report.bornMillis()) {
+				return false;
+			}
+			TargetReport gone = other.with(TargetCondition.GONE);
+			this.rows.put(holder, new Row(gone, nowNanos));
+			changes.add(gone);
+		}
+		this.byAddress.put(report.address(), report.target());
+		return true;
+	}
+
+	private static boolean isChange(Row row, TargetReport report, long nowNanos) {
+		TargetReport known = row.report;
+		boolean coldChanged = (row.coldLeftMillis(nowNanos) > 0) != (report.coldLeftMillis() > 0);
+		return known.bornMillis() != report.bornMillis() || known.condition() != report.condition() || coldChanged
+				|| !known.address().equals(report.address()) || !known.service().equals(report.service());
+	}
+
+	/**
+	 * Notes that a target has left.
+	 * @param target the target
+	 * @param nowNanos the monotonic time
+	 * @return the report that it is gone, empty if the target is unknown or gone already
+	 */
+	public Optional<TargetReport> leave(TargetId target, long nowNanos) {
+		Row row = this.rows.get(target);
+		if (row == null || row.report.condition() == TargetCondition.GONE) {
+			return Optional.empty();
+		}
+		return merge(row.report.with(TargetCondition.GONE), nowNanos).stream().findFirst();
+	}
+
+	/**
+	 * Everything known, with the times to stay cold as of now.
+	 * @param nowNanos the monotonic time
+	 * @return a copy
+	 */
+	public List<TargetReport> all(long nowNanos) {
+		Collection<Row> known = this.rows.values();
+		known.removeIf((row) -> row.report.condition() == TargetCondition.GONE && nowNanos - row.nanos > MEMORY_NANOS);
+		return known.stream().map((row) -> row.report.withColdLeft(row.coldLeftMillis(nowNanos))).toList();
+	}
+
+	/**
+	 * Finds the latest report of a target.
+	 * @param target the target
+	 * @return the report
+	 */
+	public Optional<TargetReport> find(TargetId target) {
+		return Optional.ofNullable(this.rows.get(target)).map((row) -> row.report);
+	}
+
+	/**
+	 * A report and when it came.
+	 */
+	private record Row(TargetReport report, long nanos) {
+
+		long coldLeftMillis(long nowNanos) {
+			return Math.max(0, this.report.coldLeftMillis() - TimeUnit.NANOSECONDS.toMillis(nowNanos - this.nanos));
+		}
+
+	}
+
+}
--- /dev/null
+++ b/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/gateway/GatewayTarget.java
@@ -0,0 +1,112 @@
+package org.vanillatrestle.internal.gateway;
+
+import java.util.concurrent.TimeUnit;
+
+import org.vanillatrestle.TargetId;
+import org.vanillatrestle.internal.fleet.FlightLoad;
+import org.vanillatrestle.internal.fleet.TargetReport;
+
+/**
+ * One target as this VM sees it: its report, its load and its health.
+ * <p>
+ * Load is what this VM has in flight plus what the other VMs last told. Not thread safe.
+ */
+public final class GatewayTarget {
+
+	private final PrefixCache prefixes = new PrefixCache();
+
+	private final ColdGate coldGate = new ColdGate();
+
+	private TargetHealth health = new TargetHealth();
+
+	private TargetReport report;
+
+	private long coldUntilNanos;
+
+	private FlightLoad own;
+
+	private FlightLoad others;
+
+	GatewayTarget(TargetReport report, long nowNanos) {
+		this.own = new FlightLoad(report.target(), 0, 0, 0);
+		this.others = this.own;
+		update(report, nowNanos);
+	}
+
+	/**
+	 * Takes a newer report.
+	 * @param newer the report
+	 * @param nowNanos the monotonic time
+	 */
+	void update(TargetReport newer, long nowNanos) {
+		boolean restarted = this.report != null && this.report.bornMillis() != newer.bornMillis();
+		if (restarted) {
+			this.prefixes.clear();
+			this.health = new TargetHealth();
+		}
+		this.report = newer;
+		this.coldUntilNanos = nowNanos + TimeUnit.MILLISECONDS.toNanos(newer.coldLeftMillis());
+	}
+
+	/**
+	 * Treats the target as cold from now on.
+	 * @param millis for how long at least
+	 * @param nowNanos the monotonic time
+	 */
+	void chill(long millis, long nowNanos) {
+		this.coldUntilNanos = Math.max(this.coldUntilNanos, nowNanos + TimeUnit.MILLISECONDS.toNanos(millis));
+	}
+
+	public TargetReport report() {
+		return this.report;
+	}
+
+	public TargetId id() {
+		return this.report.target();
+	}
+
+	boolean isCold(long nowNanos) {
+		return this.coldUntilNanos - nowNanos > 0;
+	}
+
+	TargetHealth health() {
+		return this.health;
+	}
+
+	ColdGate coldGate() {
+		return this.coldGate;
+	}
+
+	PrefixCache prefixes() {
+		return this.prefixes;
+	}
+
+	/**
+	 * What this VM has in flight.
+	 * @return the load
+	 */
+	public FlightLoad own() {
+		return this.own;
+	}
+
+	void setOthers(FlightLoad load) {
+		this.others = load;
+	}
+
+	void add(FlightLoad load) {
+		this.own = this.own.plus(load);
+	}
+
+	void remove(FlightLoad load) {
+		this.own = this.own.minus(load);
+	}
+
+	/**
+	 * What all VMs together have in flight, as far as known.
+	 * @return the load
+	 */
+	public FlightLoad total() {
+		return this.own.plus(this.others);
+	}
+
+}
--- /dev/null
+++ b/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/gateway/GatewayTargets.java
@@ -0,0 +1,252 @@
+package org.vanillatrestle.internal.gateway;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.SortedSet;
+import java.util.TreeSet;
+
+import org.apache.commons.rng.UniformRandomProvider;
+import org.vanillatrestle.DataCentreId;
+import org.vanillatrestle.ServiceName;
+import org.vanillatrestle.TargetId;
+import org.vanillatrestle.VmId;
+import org.vanillatrestle.internal.declaration.DeclaredService;
+import org.vanillatrestle.internal.declaration.ModelEngine;
+import org.vanillatrestle.internal.fleet.FlightLoad;
+import org.vanillatrestle.internal.fleet.TargetCondition;
+import org.vanillatrestle.internal.fleet.TargetReport;
+
+/**
+ * Chooses among the targets of this VM's region.
+ * <p>
+ * A request goes where its answer is expected to begin first, from the load, the prompt
+ * tokens that wait to be read, and what the target has cached. Not thread safe.
+ */
+public final class GatewayTargets {
+
+	/**
+	 * The part of an engine's memory that requests may hold.
+	 */
+	private static final double MEMORY_PART = 0.9;
+
+	/**
+	 * The part of an engine's memory in which shared prompt parts are expected to stay.
+	 */
+	private static final double CACHE_PART = 0.7;
+
+	/**
+	 * The requests for each slot that a plain target may have, running and waiting.
+	 */
+	private static final double PLAIN_REQUESTS_PER_SLOT = 2;
+
+	/**
+	 * The waiting time that two estimates may differ by and still count as equal.
+	 */
+	private static final double TIE_MILLIS = 5;
+
+	/**
+	 * What each further request in flight adds to an engine's estimate, since all share
+	 * its steps.
+	 */
+	private static final double MILLIS_PER_RUNNING = 1.5;
+
+	private final VmId self;
+
+	private final ColdShare coldShare;
+
+	private final UniformRandomProvider random;
+
+	private final Map<TargetId, GatewayTarget> targets = new HashMap<>();
+
+	private final Map<ServiceName, ServiceSpeed> speeds = new HashMap<>();
+
+	private Set<DataCentreId> evacuated = Set.of();
+
+	private SortedSet<VmId> regionEntries = new TreeSet<>();
+
+	/**
+	 * Creates an empty set of targets.
+	 * @param self this VM
+	 * @param coldShare divides what cold targets tolerate
+	 * @param random breaks ties
+	 */
+	public GatewayTargets(VmId self, ColdShare coldShare, UniformRandomProvider random) {
+		this.self = self;
+		this.coldShare = coldShare;
+		this.random = random;
+		this.regionEntries.add(self);
+	}
+
+	/**
+	 * Takes a report of a target of this region.
+	 * @param report the report
+	 * @param nowNanos the monotonic time
+	 */
+	public void update(TargetReport report, long nowNanos) {
+		GatewayTarget known = this.targets.get(report.target());
+		if (known == null) {
+			this.targets.put(report.target(), new GatewayTarget(report, nowNanos));
+			return;
+		}
+		known.update(report, nowNanos);
+	}
+
+	/**
+	 * Forgets targets that are gone and have nothing in flight.
+	 */
+	public void forgetGone() {
+		this.targets.values()
+			.removeIf((target) -> target.report().condition() == TargetCondition.GONE && target.own().requests() == 0);
+	}
+
+	/**
+	 * Sets the data centres whose targets get no requests. The targets of one that is
+	 * taken back count as cold.
+	 * @param changed the data centres
+	 * @param coldMillis for each service how long its targets stay cold
+	 * @param nowNanos the monotonic time
+	 */
+	public void setEvacuated(Set<DataCentreId> changed, Map<ServiceName, Long> coldMillis, long nowNanos) {
+		for (GatewayTarget target : this.targets.values()) {
+			DataCentreId dataCentre = target.report().dataCentre();
+			if (this.evacuated.contains(dataCentre) && !changed.contains(dataCentre)) {
+				target.chill(coldMillis.getOrDefault(target.report().service(), 0L), nowNanos);
+			}
+		}
+		this.evacuated = Set.copyOf(changed);
+	}
+
+	/**
+	 * Sets the entry VMs that share this region's targets.
+	 * @param entries the VMs, with this one
+	 */
+	public void setRegionEntries(SortedSet<VmId> entries) {
+		this.regionEntries = entries;
+	}
+
+	/**
+	 * Sets what the other VMs have in flight.
+	 * @param loads the loads; targets not named have none
+	 */
+	public void setOtherLoads(Collection<FlightLoad> loads) {
+		Map<TargetId, FlightLoad> byTarget = new HashMap<>();
+		loads.forEach((load) -> byTarget.merge(load.target(), load, FlightLoad::plus));
+		this.targets.forEach((id, target) -> target.setOthers(byTarget.getOrDefault(id, new FlightLoad(id, 0, 0, 0))));
+	}
+
+	/**
+	 * Returns all targets known.
+	 * @return the targets
+	 */
+	public Collection<GatewayTarget> all() {
+		return this.targets.values();
+	}
+
+	/**
+	 * Chooses a target.
+	 * @param shape the request
+	 * @param tried the targets that the request was sent to already
+	 * @param nowNanos the monotonic time
+	 * @return the choice, empty if no target has room
+	 */
+	public Optional<Choice> choose(RequestShape shape, Set<TargetId> tried, long nowNanos) {
+		List<Choice> best = new ArrayList<>();
+		double bestCost = Double.MAX_VALUE;
+		for (GatewayTarget target : this.targets.values()) {
+			if (!isUsable(target, shape.service(), nowNanos) || tried.contains(target.id())) {
+				continue;
+			}
+			long unread = shape.promptTokens()
+					- Math.min(shape.promptTokens(), target.prefixes().cachedTokens(shape.parts()));
+			double wait = waitMillis(target, shape.service(), unread);
+			if (wait < 0 || !hasMemory(target, shape, unread)) {
+				continue;
+			}
+			double cost = wait / Math.max(0.1, 1 - target.health().failedShare());
+			if (cost < bestCost - TIE_MILLIS) {
+				best.clear();
+			}
+			if (cost < bestCost + TIE_MILLIS) {
+				best.add(new Choice(target, Math.round(wait), unread));
+				bestCost = Math.min(bestCost, cost);
+			}
+		}
+		return best.isEmpty() ? Optional.empty() : Optional.of(best.get(this.random.nextInt(best.size())));
+	}
+
+	private boolean isUsable(GatewayTarget target, DeclaredService service, long nowNanos) {
+		TargetReport report = target.report();
+		if (!report.service().equals(service.name()) || report.condition() != TargetCondition.READY
+				|| this.evacuated.contains(report.dataCentre()) || target.health().isEjected(nowNanos)) {
+			return false;
+		}
+		if (target.health().isOnTrial() && target.own().requests() > 0) {
+			return false;
+		}
+		boolean limited = service.warmupPerSecond() > 0 && (target.isCold(nowNanos) || target.health().isOnTrial());
+		return !limited || target.coldGate().hasRoom(coldLimit(target, service), nowNanos);
+	}
+
+	private int coldLimit(GatewayTarget target, DeclaredService service) {
+		return this.coldShare.part(service.warmupPerSecond(), target.id(), this.self, this.regionEntries);
+	}
+
+	private double waitMillis(GatewayTarget target, DeclaredService service, long unreadTokens) {
+		ServiceSpeed speed = speed(service.name());
+		FlightLoad load = target.total();
+		int slots = Math.max(1, target.report().slots());
+		if (service.engine().isPresent()) {
+			return (load.requests() >= slots) ? -1
+					: speed.readMillis(load.unreadTokens() + unreadTokens) + MILLIS_PER_RUNNING * load.requests();
+		}
+		if (load.requests() >= PLAIN_REQUESTS_PER_SLOT * slots) {
+			return -1;
+		}
+		double waiting = Math.max(0, load.requests() + 1 - slots);
+		return speed.plainMillis() * (1 + waiting / slots) + 0.1 * load.requests();
+	}
+
+	private static boolean hasMemory(GatewayTarget target, RequestShape shape, long unreadTokens) {
+		Optional<ModelEngine> engine = shape.service().engine();
+		return engine.isEmpty() || target.total().requests() == 0 || target.total().heldTokens() + unreadTokens
+				+ shape.maxOutputTokens() <= MEMORY_PART * engine.get().cacheTokens();
+	}
+
+	private ServiceSpeed speed(ServiceName service) {
+		return this.speeds.computeIfAbsent(service, (key) -> new ServiceSpeed());
+	}
+
+	/**
+	 * Counts a request that is being sent.
+	 * @param choice the target
+	 * @param shape the request
+	 * @param nowNanos the monotonic time
+	 * @return the request in flight
+	 */
+	public Flight begin(Choice choice, RequestShape shape, long nowNanos) {
+		GatewayTarget target = choice.target();
+		target.coldGate().sent(nowNanos);
+		Flight flight = new Flight(target, speed(shape.service().name()), shape, choice.unreadTokens(), nowNanos);
+		shape.service()
+			.engine()
+			.ifPresent((engine) -> target.prefixes().read(shape.parts(), (long) (CACHE_PART * engine.cacheTokens())));
+		return flight;
+	}
+
+	/**
+	 * Estimates how soon one more request of a service could be served.
+	 * @param service the service
+	 * @param nowNanos the monotonic time
+	 * @return the time until its answer begins, -1 if no target has room
+	 */
+	public long waitMillis(DeclaredService service, long nowNanos) {
+		RequestShape typical = new RequestShape(service, 0, 0, List.of());
+		return choose(typical, Set.of(), nowNanos).map(Choice::waitMillis).orElse(-1L);
+	}
+
+}
--- a/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/log/MembershipChanges.java
+++ b/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/log/MembershipChanges.java
@@ -18,6 +18,12 @@
 
 	private static final int JOINER_TIMEOUTS = 4;
 
+	/**
+	 * After how many election timeouts a silent voter is replaced, where another replica
+	 * stands ready.
+	 */
+	private static final int SILENT_VOTER_TIMEOUTS = 2;
+
 	private final LogState state;
 
 	private final Replication replication;
@@ -26,6 +32,8 @@
 
 	private Set<VmId> wantedVoters = Set.of();
 
+	private int voterTarget = Integer.MAX_VALUE;
+
 	MembershipChanges(LogState state, Replication replication) {
 		this.state = state;
 		this.replication = replication;
@@ -35,6 +43,15 @@
 		this.wantedVoters = Set.copyOf(vms);
 	}
 
+	/**
+	 * Sets how many voters the group should have. With a target the leader replaces a
+	 * silent voter by a learner that has caught up.
+	 * @param count the number
+	 */
+	void setVoterTarget(int count) {
+		this.voterTarget = count;
+	}
+
 	void onJoin(ReplicaId joiner) {
 		boolean useful = this.wantedVoters.contains(joiner.vm()) && !this.state.membership().contains(joiner);
 		if (useful && this.state.isLeader()) {
@@ -72,10 +89,13 @@
 		}
 		Membership membership = this.state.membership();
 		Optional<ReplicaId> ready = membership.learners().stream().filter(this::isReady).findFirst();
-		if (ready.isPresent()) {
+		if (ready.isPresent() && mayPromote(membership, ready.get())) {
 			promote(membership, ready.get());
 			return;
 		}
+		if (membership.voters().size() > this.voterTarget && removeSilentVoter(membership)) {
+			return;
+		}
 		if (!this.joinersHeardNanos.isEmpty()) {
 			admit(membership, this.joinersHeardNanos.keySet().iterator().next());
 		}
@@ -87,6 +107,25 @@
 			.isCaughtUp(shared.entries().lastIndex(), shared.nowNanos(), shared.settings().electionTimeoutNanos());
 	}
 
+	private boolean mayPromote(Membership membership, ReplicaId learner) {
+		return membership.voters().size() < this.voterTarget || membership.voterOf(learner.vm()).isPresent()
+				|| (membership.voters().size() == this.voterTarget && silentVoter(membership).isPresent());
+	}
+
+	private Optional<ReplicaId> silentVoter(Membership membership) {
+		long limit = SILENT_VOTER_TIMEOUTS * this.state.settings().electionTimeoutNanos();
+		long now = this.state.nowNanos();
+		return membership.voters()
+			.stream()
+			.filter((voter) -> !voter.equals(this.state.self()))
+			.filter((voter) -> now - this.replication.progressOf(voter).heardNanos() > limit)
+			.findFirst();
+	}
+
+	private boolean removeSilentVoter(Membership membership) {
+		return silentVoter(membership).map(this::remove).orElse(false);
+	}
+
 	private void promote(Membership membership, ReplicaId learner) {
 		Optional<ReplicaId> former = membership.voterOf(learner.vm());
 		if (former.isPresent()) {
--- a/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/log/ReplicatedLog.java
+++ b/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/log/ReplicatedLog.java
@@ -72,6 +72,16 @@
 		this.changes.want(vms);
 	}
 
+	/**
+	 * Sets how many voters the group should have, so that a leader keeps further replicas
+	 * as learners and lets them replace silent voters. Without a target every wanted VM
+	 * gets a voter and none is removed.
+	 * @param count the number of voters
+	 */
+	public void setVoterTarget(int count) {
+		this.changes.setVoterTarget(count);
+	}
+
 	/**
 	 * Lets time pass.
 	 * @param nowNanos the monotonic time
--- /dev/null
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/GatewayNode.java
@@ -0,0 +1,169 @@
+package org.vanillatrestle.daemon;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.util.concurrent.DefaultThreadFactory;
+import org.apache.commons.rng.UniformRandomProvider;
+import org.apache.commons.rng.simple.RandomSource;
+import org.vanillatrestle.daemon.internal.fleet.FleetLinks;
+import org.vanillatrestle.daemon.internal.gateway.ControlPart;
+import org.vanillatrestle.daemon.internal.gateway.ControlRoute;
+import org.vanillatrestle.daemon.internal.gateway.EntryPart;
+import org.vanillatrestle.daemon.internal.http.HttpFront;
+import org.vanillatrestle.daemon.internal.http.HttpRoute;
+import org.vanillatrestle.daemon.internal.http.HttpRoutes;
+import org.vanillatrestle.daemon.internal.lifecycle.Closer;
+import org.vanillatrestle.daemon.internal.logging.EventKind;
+import org.vanillatrestle.daemon.internal.logging.EventLog;
+import org.vanillatrestle.daemon.internal.routes.MetricsRoute;
+import org.vanillatrestle.daemon.internal.settings.HostAndPort;
+import org.vanillatrestle.daemon.internal.settings.HttpLimits;
+import org.vanillatrestle.daemon.protocol.GatewayProtocol;
+
+/**
+ * One VM of a declared deployment, started inside this process.
+ * <p>
+ * All state of the request path is owned by one event loop. {@link #close()} is graceful:
+ * the VM leaves the directory, finishes what is in progress within the grace time, and
+ * releases everything. Thread safe.
+ */
+public final class GatewayNode implements AutoCloseable {
+
+	/**
+	 * For so long an entry VM goes on taking requests after it has left the directory,
+	 * since callers use older answers.
+	 */
+	private static final long LEAVE_MILLIS = 2_500;
+
+	/**
+	 * What is left of the grace time for closing sockets and files.
+	 */
+	private static final long CLOSE_MILLIS = 700;
+
+	private static final long POLL_MILLIS = 50;
+
+	private final GatewaySettings settings;
+
+	private final Closer closer = new Closer();
+
+	private final EventLoop loop;
+
+	private FleetLinks links;
+
+	private Optional<EntryPart> entry = Optional.empty();
+
+	private boolean closed;
+
+	private GatewayNode(GatewaySettings settings) {
+		this.settings = settings;
+		MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1,
+				new DefaultThreadFactory("vanillatrestle-" + settings.vm()), NioIoHandler.newFactory());
+		this.closer.add(() -> group.shutdownGracefully(0, 1, TimeUnit.SECONDS).awaitUninterruptibly());
+		this.loop = group.next();
+	}
+
+	/**
+	 * Starts a VM.
+	 * @param settings its settings
+	 * @param protocol the platform's interfaces
+	 * @return the running VM
+	 * @throws IOException if an address is in use or the data folder can't be used
+	 */
+	public static GatewayNode start(GatewaySettings settings, GatewayProtocol protocol) throws IOException {
+		GatewayNode node = new GatewayNode(settings);
+		try {
+			node.open(protocol);
+		}
+		catch (IOException | RuntimeException ex) {
+			node.closer.close();
+			throw ex;
+		}
+		EventLog.write(EventKind.STARTED, "version", Vanillatrestle.VERSION, "vm", settings.vm(), "role",
+				settings.role(), "region", settings.region(), "dataCentre", settings.dataCentre(), "founding",
+				settings.founding(), "seeds", settings.seeds());
+		return node;
+	}
+
+	private void open(GatewayProtocol protocol) throws IOException {
+		UniformRandomProvider random = RandomSource.XO_RO_SHI_RO_128_PP.create();
+		this.links = new FleetLinks(this.settings, this.loop, random);
+		Optional<ControlPart> control = Optional.empty();
+		if (this.settings.role() == GatewayRole.ENTRY) {
+			EntryPart part = new EntryPart(this.settings, protocol, this.loop, this.links, random, this.closer);
+			this.links.listen(part.fleet());
+			part.start(this.closer);
+			this.entry = Optional.of(part);
+		}
+		else {
+			ControlPart part = new ControlPart(this.settings, protocol, this.loop, this.links, this.closer);
+			this.links.listen(part.fleet());
+			part.start(this.loop);
+			control = Optional.of(part);
+		}
+		this.closer.add(() -> this.links.stop().get(1, TimeUnit.SECONDS));
+		listenForCalls(protocol, control);
+	}
+
+	private void listenForCalls(GatewayProtocol protocol, Optional<ControlPart> control) throws IOException {
+		ControlRoute calls = new ControlRoute(protocol, () -> this.entry.map(EntryPart::isReady).orElse(true),
+				control.map((part) -> part), this.loop);
+		for (HostAndPort address : this.settings.listen().controlCalls()) {
+			listen(address, List.of(calls));
+		}
+		List<HttpRoute> metrics = new ArrayList<>();
+		this.entry.ifPresent((part) -> metrics.add(new MetricsRoute(part.journal()::scrape)));
+		if (!metrics.isEmpty()) {
+			listen(new HostAndPort(this.settings.host(), this.settings.listen().metricsPort()), metrics);
+		}
+	}
+
+	private void listen(HostAndPort address, List<HttpRoute> routes) throws IOException {
+		this.closer.add(new HttpFront(this.loop, HttpLimits.DEFAULT, new HttpRoutes(routes))).listen(address);
+	}
+
+	/**
+	 * Takes settings that have changed. Only the seeds can change while a VM runs.
+	 * @param changed the settings
+	 */
+	public void reload(GatewaySettings changed) {
+		this.loop.execute(() -> this.links.setSeeds(changed.seeds()));
+		EventLog.write(EventKind.RELOADED, "seeds", changed.seeds());
+	}
+
+	@Override
+	public synchronized void close() {
+		if (this.closed) {
+			return;
+		}
+		this.closed = true;
+		EventLog.write(EventKind.STOPPING, "vm", this.settings.vm());
+		this.entry.ifPresent(this::drain);
+		this.closer.close();
+		EventLog.write(EventKind.STOPPED, "vm", this.settings.vm());
+	}
+
+	private void drain(EntryPart part) {
+		long beganNanos = System.nanoTime();
+		part.startShutdown();
+		long graceMillis = this.settings.bounds().graceMillis() - CLOSE_MILLIS;
+		long waited = 0;
+		while (waited < graceMillis && (waited < LEAVE_MILLIS || part.busyCount() > 0)) {
+			try {
+				Thread.sleep(POLL_MILLIS);
+			}
+			catch (InterruptedException ex) {
+				Thread.currentThread().interrupt();
+				return;
+			}
+			waited = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - beganNanos);
+		}
+	}
+
+}
--- /dev/null
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/GatewayProcess.java
@@ -0,0 +1,115 @@
+package org.vanillatrestle.daemon;
+
+import java.io.IOException;
+import java.io.PrintStream;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Arrays;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+
+import org.vanillatrestle.InvalidDocumentException;
+import org.vanillatrestle.daemon.internal.logging.BoundedAppender;
+import org.vanillatrestle.daemon.internal.logging.EventKind;
+import org.vanillatrestle.daemon.internal.logging.EventLog;
+import org.vanillatrestle.daemon.internal.logging.LoggingSetup;
+import org.vanillatrestle.daemon.protocol.GatewayProtocol;
+import sun.misc.Signal;
+
+/**
+ * Runs a VM of a declared deployment as a process: stops gracefully on SIGTERM, reads its
+ * settings again on SIGHUP and when their file has changed.
+ * <p>
+ * Thread safe.
+ */
+public final class GatewayProcess {
+
+	private static final long WATCH_MILLIS = 1_000;
+
+	private final Path file;
+
+	private final SettingsFormat format;
+
+	private final CountDownLatch hangup = new CountDownLatch(1);
+
+	private byte[] read;
+
+	private GatewayProcess(Path file, SettingsFormat format) {
+		this.file = file;
+		this.format = format;
+	}
+
+	/**
+	 * Runs a VM until the process is told to stop.
+	 * @param file the settings file
+	 * @param format reads the settings
+	 * @param protocol the platform's interfaces
+	 * @param err where a failure to start is told
+	 * @return the exit code
+	 */
+	public static int run(Path file, SettingsFormat format, GatewayProtocol protocol, PrintStream err) {
+		BoundedAppender log = LoggingSetup.applyStructured();
+		GatewayProcess process = new GatewayProcess(file, format);
+		try {
+			GatewayNode node = GatewayNode.start(process.readSettings(), protocol);
+			Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(node, log), "vanillatrestle-shutdown"));
+			process.watch(node);
+			return 0;
+		}
+		catch (IOException | InvalidDocumentException ex) {
+			err.println("The VM can't start. " + ex.getMessage());
+			return 2;
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+			return 0;
+		}
+	}
+
+	private static void stop(GatewayNode node, BoundedAppender log) {
+		node.close();
+		log.stop();
+		Runtime.getRuntime().halt(0);
+	}
+
+	private GatewaySettings readSettings() throws IOException, InvalidDocumentException {
+		this.read = Files.readAllBytes(this.file);
+		return this.format.read(this.read);
+	}
+
+	private void watch(GatewayNode node) throws InterruptedException {
+		Signal.handle(new Signal("HUP"), (signal) -> reload(node));
+		while (!this.hangup.await(WATCH_MILLIS, TimeUnit.MILLISECONDS)) {
+			reload(node);
+		}
+	}
+
+	private synchronized void reload(GatewayNode node) {
+		try {
+			byte[] before = this.read;
+			GatewaySettings changed = readSettings();
+			if (!Arrays.equals(before, this.read)) {
+				node.reload(changed);
+			}
+		}
+		catch (IOException | InvalidDocumentException ex) {
+			EventLog.write(EventKind.RELOADED, "failure", ex.getMessage());
+		}
+	}
+
+	/**
+	 * Reads settings.
+	 */
+	public interface SettingsFormat {
+
+		/**
+		 * Reads settings.
+		 * @param bytes the file's bytes
+		 * @return the settings
+		 * @throws InvalidDocumentException if they break a rule
+		 */
+		GatewaySettings read(byte[] bytes) throws InvalidDocumentException;
+
+	}
+
+}
--- /dev/null
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/fleet/ControlFleet.java
@@ -0,0 +1,254 @@
+package org.vanillatrestle.daemon.internal.fleet;
+
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+
+import io.netty.channel.EventLoop;
+import org.vanillatrestle.RegionId;
+import org.vanillatrestle.TargetId;
+import org.vanillatrestle.VmId;
+import org.vanillatrestle.daemon.internal.logging.EventKind;
+import org.vanillatrestle.daemon.internal.logging.EventLog;
+import org.vanillatrestle.internal.declaration.DeclaredState;
+import org.vanillatrestle.internal.fleet.EntryReport;
+import org.vanillatrestle.internal.fleet.TargetReport;
+import org.vanillatrestle.internal.fleet.TargetTable;
+import org.vanillatrestle.wire.FleetNews;
+import org.vanillatrestle.wire.PeerIdentity;
+
+/**
+ * A control VM's part in the fleet: it takes beats of entry VMs and reports of targets,
+ * and tells everybody what changed.
+ * <p>
+ * Used on the VM's event loop.
+ */
+public final class ControlFleet implements FleetListener {
+
+	private static final long BEAT_MILLIS = 250;
+
+	/**
+	 * How often all targets are told again, for whoever lost a message.
+	 */
+	private static final long REPEAT_NANOS = TimeUnit.SECONDS.toNanos(4);
+
+	private final FleetLinks links;
+
+	private final EventLoop loop;
+
+	private final ReplicaPort replica;
+
+	private final TargetTable targets = new TargetTable();
+
+	private final EntryTable entries = new EntryTable();
+
+	private final Set<VmId> controlVms = new HashSet<>();
+
+	private final Map<VmId, Long> stateSentNanos = new HashMap<>();
+
+	private DeclaredState state = DeclaredState.NONE;
+
+	private long repeatedNanos;
+
+	/**
+	 * Creates the control VM's part.
+	 * @param links the links
+	 * @param loop the VM's event loop
+	 * @param replica the replica of the declared state
+	 */
+	public ControlFleet(FleetLinks links, EventLoop loop, ReplicaPort replica) {
+		this.links = links;
+		this.loop = loop;
+		this.replica = replica;
+	}
+
+	/**
+	 * Begins to beat.
+	 */
+	public void start() {
+		this.loop.scheduleAtFixedRate(this::tick, 0, BEAT_MILLIS, TimeUnit.MILLISECONDS);
+	}
+
+	private void tick() {
+		this.links.tick();
+		long now = System.nanoTime();
+		List<EntryReport> fresh = this.entries.fresh(now);
+		Map<RegionId, byte[]> beats = new HashMap<>();
+		for (PeerIdentity peer : this.links.allPeers()) {
+			byte[] beat = beats.computeIfAbsent(peer.region(), (region) -> beat(region, fresh));
+			this.links.send(peer.vm(), beat);
+		}
+		if (now - this.repeatedNanos > REPEAT_NANOS) {
+			this.repeatedNanos = now;
+			broadcast(new FleetNews.Targets(this.targets.all(now)));
+		}
+	}
+
+	private byte[] beat(RegionId region, List<EntryReport> fresh) {
+		List<EntryReport> told = fresh.stream().map((entry) -> forRegion(entry, region)).toList();
+		return FleetLinks.encode(new FleetNews.ControlBeat(this.state.index(), this.links.controlAddresses(), told));
+	}
+
+	private static EntryReport forRegion(EntryReport entry, RegionId region) {
+		if (entry.region().equals(region)) {
+			return entry;
+		}
+		return new EntryReport(entry.vm(), entry.region(), entry.dataCentre(), entry.frontAddress(),
+				entry.forwardAddress(), entry.ready(), List.of(), entry.waits());
+	}
+
+	private void broadcast(FleetNews news) {
+		byte[] encoded = FleetLinks.encode(news);
+		this.links.allPeers().forEach((peer) -> this.links.send(peer.vm(), encoded));
+	}
+
+	/**
+	 * Takes a new declared state.
+	 * @param changed the state
+	 */
+	public void declared(DeclaredState changed) {
+		if (changed.index() <= this.state.index()) {
+			return;
+		}
+		this.state = changed;
+		EventLog.write(EventKind.DECLARED, "version", changed.version(), "index", changed.index(), "evacuated",
+				changed.evacuated());
+		broadcast(new FleetNews.Declared(changed));
+	}
+
+	/**
+	 * Takes a report that came from a target itself.
+	 * @param report the report
+	 */
+	public void reported(TargetReport report) {
+		publish(this.targets.merge(report, System.nanoTime()));
+	}
+
+	/**
+	 * Notes that a target has left.
+	 * @param target the target
+	 */
+	public void left(TargetId target) {
+		this.targets.leave(target, System.nanoTime()).ifPresent((gone) -> publish(List.of(gone)));
+	}
+
+	private void publish(List<TargetReport> changes) {
+		if (changes.isEmpty()) {
+			return;
+		}
+		changes.forEach(ControlFleet::logChange);
+		broadcast(new FleetNews.Targets(changes));
+	}
+
+	static void logChange(TargetReport report) {
+		EventLog.write(EventKind.TARGET_CHANGED, "target", report.target(), "condition", report.condition(), "service",
+				report.service(), "address", report.address(), "born", report.bornMillis(), "sequence",
+				report.sequence(), "coldMillis", report.coldLeftMillis());
+	}
+
+	/**
+	 * Returns the entry VMs heard of lately.
+	 * @return their last reports
+	 */
+	public List<EntryReport> entries() {
+		return this.entries.fresh(System.nanoTime());
+	}
+
+	@Override
+	public void connected(PeerIdentity peer, boolean control) {
+		if (control && this.controlVms.add(peer.vm())) {
+			this.replica.setControlVms(this.controlVms);
+		}
+		this.links.send(peer.vm(), FleetLinks.encode(new FleetNews.Targets(this.targets.all(System.nanoTime()))));
+		if (this.state.isDeclared()) {
+			this.links.send(peer.vm(), FleetLinks.encode(new FleetNews.Declared(this.state)));
+		}
+	}
+
+	@Override
+	public void disconnected(PeerIdentity peer) {
+		this.stateSentNanos.remove(peer.vm());
+	}
+
+	@Override
+	public void onNews(VmId sender, FleetNews news) {
+		if (news instanceof FleetNews.EntryBeat beat) {
+			this.entries.heard(beat.entry(), System.nanoTime());
+			if (beat.declaredIndex() < this.state.index()) {
+				repeatState(sender);
+			}
+		}
+		else if (news instanceof FleetNews.ControlBeat beat) {
+			beat.controlAddresses().forEach(this.links::told);
+		}
+		else if (news instanceof FleetNews.Targets told) {
+			long now = System.nanoTime();
+			told.reports().forEach((report) -> publishToEntries(this.targets.merge(report, now)));
+		}
+	}
+
+	private void repeatState(VmId behind) {
+		long now = System.nanoTime();
+		Long sent = this.stateSentNanos.get(behind);
+		if (sent == null || now - sent > TimeUnit.MILLISECONDS.toNanos(2 * BEAT_MILLIS)) {
+			this.stateSentNanos.put(behind, now);
+			this.links.send(behind, FleetLinks.encode(new FleetNews.Declared(this.state)));
+		}
+	}
+
+	// an entry VM may have a link to this control VM only
+	private void publishToEntries(List<TargetReport> changes) {
+		if (changes.isEmpty()) {
+			return;
+		}
+		byte[] encoded = FleetLinks.encode(new FleetNews.Targets(changes));
+		Set<VmId> control = new HashSet<>();
+		this.links.controlPeers().forEach((peer) -> control.add(peer.vm()));
+		this.links.allPeers()
+			.stream()
+			.filter((peer) -> !control.contains(peer.vm()))
+			.forEach((peer) -> this.links.send(peer.vm(), encoded));
+	}
+
+	@Override
+	public void onLog(VmId sender, byte[] message) {
+		this.replica.receive(sender, message);
+	}
+
+	@Override
+	public CompletableFuture<byte[]> onCall(byte[] payload) {
+		return this.replica.call(payload);
+	}
+
+	/**
+	 * What the fleet needs of the replica of the declared state.
+	 */
+	public interface ReplicaPort {
+
+		/**
+		 * Sets the VMs that may hold a replica.
+		 * @param vms the control VMs known
+		 */
+		void setControlVms(Set<VmId> vms);
+
+		/**
+		 * Takes a message of another replica.
+		 * @param from the VM that sent it
+		 * @param message the bytes
+		 */
+		void receive(VmId from, byte[] message);
+
+		/**
+		 * Carries out a call of another control VM.
+		 * @param payload the call's bytes
+		 * @return the reply's bytes
+		 */
+		CompletableFuture<byte[]> call(byte[] payload);
+
+	}
+
+}
--- /dev/null
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/fleet/FleetLinks.java
@@ -0,0 +1,284 @@
+package org.vanillatrestle.daemon.internal.fleet;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeSet;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.stream.Collectors;
+
+import io.netty.channel.EventLoop;
+import org.apache.commons.rng.UniformRandomProvider;
+import org.vanillatrestle.VmId;
+import org.vanillatrestle.daemon.GatewayRole;
+import org.vanillatrestle.daemon.GatewaySettings;
+import org.vanillatrestle.daemon.internal.logging.EventKind;
+import org.vanillatrestle.daemon.internal.logging.EventLog;
+import org.vanillatrestle.daemon.internal.settings.HostAndPort;
+import org.vanillatrestle.wire.FleetCodec;
+import org.vanillatrestle.wire.FleetNews;
+import org.vanillatrestle.wire.MalformedMessageException;
+import org.vanillatrestle.wire.PeerChannel;
+import org.vanillatrestle.wire.PeerHandler;
+import org.vanillatrestle.wire.PeerIdentity;
+import org.vanillatrestle.wire.PeerNode;
+import org.vanillatrestle.wire.PeerSettings;
+
+/**
+ * The links of a VM to the control VMs, found by way of seeds.
+ * <p>
+ * Every VM keeps a link to each control VM that it was told of. Used on the VM's event
+ * loop but for {@link #listen()}.
+ */
+public final class FleetLinks {
+
+	private static final String NO_ADDRESS = "none";
+
+	/**
+	 * How long an address that nobody tells any more is dialled.
+	 */
+	private static final long ADDRESS_MEMORY_NANOS = TimeUnit.SECONDS.toNanos(60);
+
+	private static final PeerSettings PEER_SETTINGS = peerSettings();
+
+	private final GatewaySettings settings;
+
+	private final EventLoop loop;
+
+	private final PeerNode node;
+
+	private final Map<VmId, PeerIdentity> peers = new HashMap<>();
+
+	private final Map<InetSocketAddress, Long> dialledNanos = new HashMap<>();
+
+	private Set<InetSocketAddress> seeds;
+
+	private FleetListener listener;
+
+	/**
+	 * Creates links that neither listen nor connect yet.
+	 * @param settings the VM's settings
+	 * @param loop the VM's event loop
+	 * @param random the source of jitter
+	 * @throws IOException if the node can't be made
+	 */
+	public FleetLinks(GatewaySettings settings, EventLoop loop, UniformRandomProvider random) throws IOException {
+		this.settings = settings;
+		this.loop = loop;
+		setSeeds(settings.seeds());
+		this.node = new PeerNode(loop, PEER_SETTINGS, null, new Handler(), (exchange) -> {
+			throw new IllegalStateException("requests are not forwarded over the links of a declared deployment");
+		}, () -> 0L, random);
+	}
+
+	// shorter than the defaults: a silent link must be noticed well within the time in
+	// which a change is to be in force
+	private static PeerSettings peerSettings() {
+		PeerSettings defaults = PeerSettings.defaults();
+		int maxMessageBytes = 8 * defaults.maxMessageBytes();
+		return new PeerSettings(maxMessageBytes, defaults.streamWindowBytes(), defaults.maxFrameBytes(), 64,
+				defaults.maxCalls(), maxMessageBytes, 600, 2_000, 1_000, 100, 600, 2_000);
+	}
+
+	/**
+	 * Begins to listen. May be called by any thread but the event loop's.
+	 * @param fleetListener hears what happens
+	 * @throws IOException if the address can't be used
+	 */
+	public void listen(FleetListener fleetListener) throws IOException {
+		this.listener = fleetListener;
+		boolean control = this.settings.role() == GatewayRole.CONTROL;
+		HostAndPort own = ownAddress();
+		PeerIdentity identity = new PeerIdentity(this.settings.vm(), this.settings.dataCentre(), this.settings.region(),
+				System.currentTimeMillis(), control ? own.toString() : NO_ADDRESS);
+		try {
+			this.node.listen(own.toSocketAddress(), identity).get();
+		}
+		catch (ExecutionException ex) {
+			throw new IOException("The peer link can't listen at " + own
+					+ ". The port may be in use or the address not this VM's: " + ex.getCause().getMessage(), ex);
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+			throw new IOException("The start was interrupted.", ex);
+		}
+	}
+
+	private HostAndPort ownAddress() {
+		return new HostAndPort(this.settings.host(), this.settings.listen().peerPort());
+	}
+
+	/**
+	 * Replaces the seeds.
+	 * @param changed the peer links of a few control VMs
+	 */
+	public void setSeeds(List<HostAndPort> changed) {
+		this.seeds = changed.stream().map(HostAndPort::toSocketAddress).collect(Collectors.toSet());
+	}
+
+	/**
+	 * Takes the address of a control VM that another VM told.
+	 * @param address the address, as {@code host:port}
+	 */
+	void told(String address) {
+		int colon = address.lastIndexOf(':');
+		if (colon > 0) {
+			dial(new InetSocketAddress(address.substring(0, colon), Integer.parseInt(address.substring(colon + 1))));
+		}
+	}
+
+	private void dial(InetSocketAddress address) {
+		if (!address.equals(ownAddress().toSocketAddress())) {
+			this.dialledNanos.put(address, System.nanoTime());
+			this.node.connect(address);
+		}
+	}
+
+	/**
+	 * Dials the seeds and forgets addresses that are not told any more. Called often.
+	 */
+	void tick() {
+		this.seeds.forEach(this::dial);
+		this.peers.values().forEach((peer) -> {
+			if (isControl(peer)) {
+				told(peer.address());
+			}
+		});
+		long now = System.nanoTime();
+		this.dialledNanos.entrySet().removeIf((entry) -> {
+			boolean old = now - entry.getValue() > ADDRESS_MEMORY_NANOS;
+			if (old) {
+				this.node.disconnect(entry.getKey());
+			}
+			return old;
+		});
+	}
+
+	/**
+	 * Returns the control VMs to which a link is up.
+	 * @return their identities
+	 */
+	public Collection<PeerIdentity> controlPeers() {
+		return this.peers.values().stream().filter(FleetLinks::isControl).toList();
+	}
+
+	/**
+	 * Returns all VMs to which a link is up.
+	 * @return their identities, a copy
+	 */
+	Collection<PeerIdentity> allPeers() {
+		return new ArrayList<>(this.peers.values());
+	}
+
+	/**
+	 * Returns the addresses of the control VMs known to be up.
+	 * @return the addresses, with this VM's if it is one
+	 */
+	List<String> controlAddresses() {
+		Set<String> addresses = controlPeers().stream()
+			.map(PeerIdentity::address)
+			.collect(Collectors.toCollection(TreeSet::new));
+		if (this.settings.role() == GatewayRole.CONTROL) {
+			addresses.add(ownAddress().toString());
+		}
+		return List.copyOf(addresses);
+	}
+
+	private static boolean isControl(PeerIdentity peer) {
+		return !NO_ADDRESS.equals(peer.address());
+	}
+
+	/**
+	 * Sends news, or drops them where there is no link.
+	 * @param to the receiver
+	 * @param encoded the news' bytes
+	 */
+	void send(VmId to, byte[] encoded) {
+		this.node.send(to, PeerChannel.FLEET, encoded);
+	}
+
+	/**
+	 * Sends a message of the replicated log. May be called by any thread.
+	 * @param to the receiver
+	 * @param message the bytes
+	 */
+	public void sendLog(VmId to, byte[] message) {
+		this.loop.execute(() -> this.node.send(to, PeerChannel.LOG, message));
+	}
+
+	/**
+	 * Calls a control VM.
+	 * @param to the VM
+	 * @param payload the bytes sent
+	 * @param timeoutMillis the longest wait
+	 * @return the answer
+	 */
+	public CompletableFuture<byte[]> call(VmId to, byte[] payload, int timeoutMillis) {
+		return this.node.call(to, PeerChannel.DECLARATION, payload, timeoutMillis);
+	}
+
+	/**
+	 * Closes all links.
+	 * @return completed when all sockets are closed
+	 */
+	public CompletableFuture<Void> stop() {
+		return this.node.stop();
+	}
+
+	/**
+	 * Encodes news once for several receivers.
+	 * @param news the news
+	 * @return the bytes
+	 */
+	static byte[] encode(FleetNews news) {
+		return FleetCodec.encode(news);
+	}
+
+	/**
+	 * Hands on what comes over the links.
+	 */
+	private final class Handler implements PeerHandler {
+
+		@Override
+		public void onConnected(PeerIdentity peer, long appliedIndex) {
+			FleetLinks.this.peers.put(peer.vm(), peer);
+			EventLog.write(EventKind.PEER_CONNECTED, "peer", peer.vm(), "control", isControl(peer));
+			FleetLinks.this.listener.connected(peer, isControl(peer));
+		}
+
+		@Override
+		public void onDisconnected(PeerIdentity peer) {
+			FleetLinks.this.peers.remove(peer.vm());
+			EventLog.write(EventKind.PEER_LOST, "peer", peer.vm(), "control", isControl(peer));
+			FleetLinks.this.listener.disconnected(peer);
+		}
+
+		@Override
+		public void onDatagram(VmId sender, PeerChannel channel, byte[] payload) {
+			if (channel == PeerChannel.LOG) {
+				FleetLinks.this.listener.onLog(sender, payload);
+				return;
+			}
+			try {
+				FleetLinks.this.listener.onNews(sender, FleetCodec.decode(payload));
+			}
+			catch (MalformedMessageException ex) {
+				EventLog.write(EventKind.REPORT_REFUSED, "peer", sender, "reason", ex.getMessage());
+			}
+		}
+
+		@Override
+		public CompletableFuture<byte[]> onCall(VmId sender, PeerChannel channel, byte[] payload) {
+			return FleetLinks.this.listener.onCall(payload);
+		}
+
+	}
+
+}
--- /dev/null
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/AnswerRelay.java
@@ -0,0 +1,142 @@
+package org.vanillatrestle.daemon.internal.gateway;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import org.vanillatrestle.daemon.internal.pipeline.AnswerHead;
+import org.vanillatrestle.daemon.internal.pipeline.AnswerSink;
+
+/**
+ * Hands the answer of one or several attempts on to the caller: a stream by whole events,
+ * anything else at its end.
+ * <p>
+ * Invariant: nothing of an answer is sent before it is known to be delivered, but for
+ * whole events of a stream. Used on the VM's event loop.
+ */
+final class AnswerRelay {
+
+	private final AnswerSink sink;
+
+	private final boolean streaming;
+
+	private final EventStream events;
+
+	private AnswerHead head;
+
+	private ByteBuf body = Unpooled.EMPTY_BUFFER;
+
+	private AnswerHead keptHead;
+
+	private byte[] keptBody;
+
+	private boolean begun;
+
+	AnswerRelay(AnswerSink sink, boolean streaming, long resumeAfterEvent) {
+		this.sink = sink;
+		this.streaming = streaming;
+		this.events = new EventStream(resumeAfterEvent);
+	}
+
+	/**
+	 * Begins the answer of an attempt.
+	 * @param newHead status and headers
+	 */
+	void head(AnswerHead newHead) {
+		this.head = newHead;
+		this.body = Unpooled.buffer();
+		this.events.beginRun();
+	}
+
+	private boolean isStream() {
+		return this.streaming && this.head.status() / 100 == 2;
+	}
+
+	/**
+	 * Takes a part of the body.
+	 * @param data the part; released
+	 * @return whether the caller was sent the first part of the answer by this
+	 */
+	boolean body(ByteBuf data) {
+		if (!isStream()) {
+			this.body.writeBytes(data);
+			data.release();
+			return false;
+		}
+		ByteBuf whole = this.events.take(data);
+		if (!whole.isReadable()) {
+			return false;
+		}
+		boolean first = begin();
+		this.sink.body(whole);
+		return first;
+	}
+
+	private boolean begin() {
+		if (this.begun) {
+			return false;
+		}
+		this.begun = true;
+		this.sink.head(this.head);
+		return true;
+	}
+
+	/**
+	 * Tells whether the stream has broken where it can't go on.
+	 * @return whether an event is missing
+	 */
+	boolean hasGap() {
+		return this.events.hasGap();
+	}
+
+	/**
+	 * Delivers the answer, whose end has come.
+	 * @return false if the stream ends in the middle of an event
+	 */
+	boolean end() {
+		if (!isStream()) {
+			this.sink.whole(this.head, bytes());
+			return true;
+		}
+		if (this.events.isInEvent()) {
+			return false;
+		}
+		begin();
+		this.sink.end();
+		return true;
+	}
+
+	private byte[] bytes() {
+		byte[] bytes = new byte[this.body.readableBytes()];
+		this.body.getBytes(this.body.readerIndex(), bytes);
+		return bytes;
+	}
+
+	/**
+	 * Keeps the answer of an attempt, to be delivered if no other attempt has a better
+	 * one.
+	 */
+	void keep() {
+		this.keptHead = this.head;
+		this.keptBody = bytes();
+	}
+
+	boolean hasKept() {
+		return this.keptHead != null;
+	}
+
+	void deliverKept() {
+		this.sink.whole(this.keptHead, this.keptBody);
+	}
+
+	/**
+	 * Tells whether a part of a stream was sent to the caller.
+	 * @return whether the answer can't be replaced any more
+	 */
+	boolean isBegun() {
+		return this.begun;
+	}
+
+	long lastEventId() {
+		return this.events.lastId();
+	}
+
+}
--- /dev/null
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/CallerRoute.java
@@ -0,0 +1,130 @@
+package org.vanillatrestle.daemon.internal.gateway;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+import io.netty.handler.codec.http.HttpHeaderNames;
+import org.vanillatrestle.Names;
+import org.vanillatrestle.ServiceName;
+import org.vanillatrestle.daemon.internal.http.ConnectionListener;
+import org.vanillatrestle.daemon.internal.http.HttpRoute;
+import org.vanillatrestle.daemon.internal.logging.EventKind;
+import org.vanillatrestle.daemon.internal.pipeline.AnswerSink;
+import org.vanillatrestle.daemon.internal.pipeline.CallerRequest;
+import org.vanillatrestle.daemon.protocol.CallDetails;
+import org.vanillatrestle.internal.declaration.Declaration;
+import org.vanillatrestle.internal.declaration.DeclaredRoute;
+import org.vanillatrestle.internal.declaration.DeclaredService;
+import org.vanillatrestle.internal.declaration.RouteTable;
+import org.vanillatrestle.internal.gateway.RequestShape;
+
+/**
+ * Takes requests on declared routes, from callers and from other VMs.
+ * <p>
+ * Used on the VM's event loop.
+ */
+public final class CallerRoute {
+
+	private static final long NOT_DECLARED_RETRY_MILLIS = 500;
+
+	private final GatewayContext context;
+
+	private Declaration declaration;
+
+	private RouteTable routes;
+
+	CallerRoute(GatewayContext context) {
+		this.context = context;
+	}
+
+	/**
+	 * Puts a declaration in force.
+	 * @param changed the declaration
+	 */
+	void declare(Declaration changed) {
+		this.declaration = changed;
+		this.routes = new RouteTable(changed);
+	}
+
+	boolean isDeclared() {
+		return this.declaration != null;
+	}
+
+	List<DeclaredService> services() {
+		return isDeclared() ? List.copyOf(this.declaration.services().values()) : List.of();
+	}
+
+	/**
+	 * For each service how long its targets stay cold.
+	 * @return the times in milliseconds
+	 */
+	Map<ServiceName, Long> coldMillis() {
+		Map<ServiceName, Long> times = new HashMap<>();
+		services().forEach((service) -> times.put(service.name(), service.coldStartMillis()));
+		return times;
+	}
+
+	/**
+	 * The way in for callers, or for other VMs.
+	 * @param forwarded whether requests come from other VMs
+	 * @return the way in
+	 */
+	HttpRoute entrance(boolean forwarded) {
+		return new HttpRoute() {
+
+			@Override
+			public boolean matches(String path) {
+				return true;
+			}
+
+			@Override
+			public ConnectionListener serve(CallerRequest request, AnswerSink sink) {
+				return CallerRoute.this.serve(request, sink, forwarded);
+			}
+
+		};
+	}
+
+	private ConnectionListener serve(CallerRequest request, AnswerSink sink, boolean forwarded) {
+		CallDetails details = this.context.protocol().readCall(request);
+		if (!isDeclared()) {
+			return refuse(GatewayRefusal.NOT_DECLARED, details, sink);
+		}
+		Optional<DeclaredRoute> route = this.routes.find(request.header(HttpHeaderNames.HOST), request.path());
+		if (route.isEmpty()) {
+			return refuse(forwarded ? GatewayRefusal.NO_SERVICE : GatewayRefusal.NO_ROUTE, details, sink);
+		}
+		Optional<DeclaredService> service = service(request, route.get(), forwarded);
+		if (service.isEmpty()) {
+			return refuse(GatewayRefusal.NO_SERVICE, details, sink);
+		}
+		RequestShape shape = new RequestShape(service.get(), details.promptTokens(), details.maxOutputTokens(),
+				details.promptParts());
+		RoutedRequest routed = new RoutedRequest(this.context, route.get(), shape, request, details, sink, forwarded);
+		routed.start();
+		return routed.isEnded() ? null : routed;
+	}
+
+	private Optional<DeclaredService> service(CallerRequest request, DeclaredRoute route, boolean forwarded) {
+		if (!forwarded) {
+			ServiceName picked = route.pickService(this.context.random().nextDouble());
+			return Optional.ofNullable(this.declaration.services().get(picked));
+		}
+		String name = request.header(RoutedAttempt.SERVICE_HEADER);
+		boolean served = route.shares()
+			.stream()
+			.anyMatch((share) -> share.weight() > 0 && share.service().value().equals(name));
+		return (served && Names.isValid(name))
+				? Optional.ofNullable(this.declaration.services().get(new ServiceName(name))) : Optional.empty();
+	}
+
+	private ConnectionListener refuse(GatewayRefusal refusal, CallDetails details, AnswerSink sink) {
+		refusal.answer(sink, (refusal.status() == 503) ? NOT_DECLARED_RETRY_MILLIS : -1);
+		this.context.journal().ended("none", EventKind.REFUSED, refusal.name(), 0);
+		this.context.journal().log(EventKind.REFUSED, "request", details.requestId(), "reason", refusal.name());
+		return null;
+	}
+
+}
--- /dev/null
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/ControlPart.java
@@ -0,0 +1,167 @@
+package org.vanillatrestle.daemon.internal.gateway;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Predicate;
+
+import io.netty.channel.EventLoop;
+import org.vanillatrestle.TargetId;
+import org.vanillatrestle.daemon.GatewaySettings;
+import org.vanillatrestle.daemon.internal.declared.DeclarationCalls;
+import org.vanillatrestle.daemon.internal.declared.DeclaredReplica;
+import org.vanillatrestle.daemon.internal.fleet.ControlFleet;
+import org.vanillatrestle.daemon.internal.fleet.FleetLinks;
+import org.vanillatrestle.daemon.internal.lifecycle.Closer;
+import org.vanillatrestle.daemon.internal.replica.ReplicaSettings;
+import org.vanillatrestle.daemon.internal.settings.HostAndPort;
+import org.vanillatrestle.daemon.protocol.ControlCall;
+import org.vanillatrestle.daemon.protocol.GatewayProtocol;
+import org.vanillatrestle.internal.declaration.DeclarationCommand;
+import org.vanillatrestle.internal.declaration.DeclaredState;
+import org.vanillatrestle.internal.fleet.EntryReport;
+import org.vanillatrestle.internal.fleet.TargetReport;
+
+/**
+ * What a control VM runs: a replica of the declared state, and its part in the fleet.
+ * <p>
+ * Calls are carried out on the VM's event loop; the disk is used by threads of its own.
+ */
+public final class ControlPart implements ControlPort {
+
+	/**
+	 * The most addresses in a directory answer.
+	 */
+	private static final int MAX_ADDRESSES = 64;
+
+	/**
+	 * How long callers may use a directory answer, unless the settings allow less.
+	 */
+	private static final double DIRECTORY_TTL_SECONDS = 1;
+
+	private static final long SUPERVISE_MILLIS = 500;
+
+	private final GatewaySettings settings;
+
+	private final GatewayProtocol protocol;
+
+	private final DeclaredReplica replica;
+
+	private final DeclarationCalls calls;
+
+	private final ControlFleet fleet;
+
+	private final ScheduledExecutorService supervisor = Executors.newSingleThreadScheduledExecutor((task) -> {
+		Thread thread = new Thread(task, "replica-supervisor");
+		thread.setDaemon(true);
+		return thread;
+	});
+
+	/**
+	 * Opens the data folder.
+	 * @param settings the VM's settings
+	 * @param protocol the platform's interfaces
+	 * @param loop the VM's event loop
+	 * @param links the links to other VMs
+	 * @param closer closes what is opened here
+	 * @throws IOException if the data folder can't be used
+	 */
+	public ControlPart(GatewaySettings settings, GatewayProtocol protocol, EventLoop loop, FleetLinks links,
+			Closer closer) throws IOException {
+		this.settings = settings;
+		this.protocol = protocol;
+		int lostVms = settings.bounds().lostVms();
+		ReplicaSettings defaults = ReplicaSettings.of(Set.of(settings.vm()));
+		ReplicaSettings replicaSettings = new ReplicaSettings(defaults.log(), defaults.wantedVoters(), 2 * lostVms + 1,
+				defaults.batchLimit(), defaults.queueLimit(), defaults.waitingBytesLimit());
+		this.replica = closer.add(new DeclaredReplica(settings.vm(),
+				settings.dataFolder().orElseThrow().resolve(DeclaredReplica.FOLDER), isFounder(settings),
+				links::sendLog, replicaSettings, 2 * lostVms, (state) -> loop.execute(() -> declared(state))));
+		this.calls = new DeclarationCalls(settings.vm(), this.replica, () -> links);
+		this.fleet = new ControlFleet(links, loop, this.calls);
+		closer.add(this.supervisor::shutdownNow);
+	}
+
+	private void declared(DeclaredState state) {
+		this.fleet.declared(state);
+	}
+
+	// the seeds are the same at all VMs when a deployment is founded; the first in order
+	// founds the group and the others join it
+	private static boolean isFounder(GatewaySettings settings) {
+		HostAndPort own = new HostAndPort(settings.host(), settings.listen().peerPort());
+		Optional<String> first = settings.seeds().stream().map(HostAndPort::toString).sorted().findFirst();
+		return settings.founding() && first.map(own.toString()::equals).orElse(false);
+	}
+
+	public ControlFleet fleet() {
+		return this.fleet;
+	}
+
+	/**
+	 * Starts the replica and the beats.
+	 * @param loop the VM's event loop
+	 */
+	public void start(EventLoop loop) {
+		this.replica.start();
+		loop.execute(this.fleet::start);
+		this.supervisor.scheduleWithFixedDelay(this.replica::supervise, SUPERVISE_MILLIS, SUPERVISE_MILLIS,
+				TimeUnit.MILLISECONDS);
+	}
+
+	@Override
+	public Optional<byte[]> resolve(ControlCall.Resolve call) {
+		List<EntryReport> ready = this.fleet.entries().stream().filter(EntryReport::ready).toList();
+		List<EntryReport> chosen = select(ready, (entry) -> entry.dataCentre().equals(call.dataCentre()));
+		if (chosen.isEmpty()) {
+			chosen = select(ready, (entry) -> entry.region().equals(call.region()));
+		}
+		if (chosen.isEmpty()) {
+			chosen = select(ready, (entry) -> true);
+		}
+		if (chosen.isEmpty()) {
+			return Optional.empty();
+		}
+		double ttl = Math.min(DIRECTORY_TTL_SECONDS, this.settings.bounds().directoryTtlSeconds());
+		return Optional.of(this.protocol.writeDirectory(chosen.stream().map(EntryReport::frontAddress).toList(), ttl));
+	}
+
+	private static List<EntryReport> select(List<EntryReport> ready, Predicate<EntryReport> wanted) {
+		List<EntryReport> chosen = new ArrayList<>(ready.stream().filter(wanted).toList());
+		Collections.shuffle(chosen);
+		return chosen.subList(0, Math.min(MAX_ADDRESSES, chosen.size()));
+	}
+
+	@Override
+	public void report(TargetReport report) {
+		this.fleet.reported(report);
+	}
+
+	@Override
+	public void leave(TargetId target) {
+		this.fleet.left(target);
+	}
+
+	@Override
+	public boolean isInTouch() {
+		return this.replica.hasLeader();
+	}
+
+	@Override
+	public CompletableFuture<Optional<DeclaredState>> propose(DeclarationCommand command) {
+		return this.calls.propose(command);
+	}
+
+	@Override
+	public CompletableFuture<Optional<DeclaredState>> read() {
+		return this.calls.read();
+	}
+
+}
--- /dev/null
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/ControlRoute.java
@@ -0,0 +1,140 @@
+package org.vanillatrestle.daemon.internal.gateway;
+
+import java.nio.charset.StandardCharsets;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.Executor;
+import java.util.function.BooleanSupplier;
+
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
+import org.vanillatrestle.daemon.internal.http.ConnectionListener;
+import org.vanillatrestle.daemon.internal.http.HttpRoute;
+import org.vanillatrestle.daemon.internal.logging.EventKind;
+import org.vanillatrestle.daemon.internal.logging.EventLog;
+import org.vanillatrestle.daemon.internal.pipeline.AnswerHead;
+import org.vanillatrestle.daemon.internal.pipeline.AnswerSink;
+import org.vanillatrestle.daemon.internal.pipeline.CallerRequest;
+import org.vanillatrestle.daemon.protocol.ControlCall;
+import org.vanillatrestle.daemon.protocol.GatewayProtocol;
+import org.vanillatrestle.internal.declaration.DeclarationCommand;
+import org.vanillatrestle.internal.declaration.DeclaredState;
+import org.vanillatrestle.internal.fleet.TargetCondition;
+
+/**
+ * Answers operators, targets, directory look-ups and the platform's checks.
+ * <p>
+ * Used on the VM's event loop.
+ */
+public final class ControlRoute implements HttpRoute {
+
+	private static final byte[] EMPTY_OBJECT = "{}".getBytes(StandardCharsets.US_ASCII);
+
+	private final GatewayProtocol protocol;
+
+	private final BooleanSupplier ready;
+
+	private final Optional<ControlPort> port;
+
+	private final Executor loop;
+
+	/**
+	 * Creates the route.
+	 * @param protocol the platform's interfaces
+	 * @param ready whether this VM takes requests
+	 * @param port what carries out calls, empty for an entry VM
+	 * @param loop the VM's event loop
+	 */
+	public ControlRoute(GatewayProtocol protocol, BooleanSupplier ready, Optional<ControlPort> port, Executor loop) {
+		this.protocol = protocol;
+		this.ready = ready;
+		this.port = port;
+		this.loop = loop;
+	}
+
+	@Override
+	public boolean matches(String path) {
+		return true;
+	}
+
+	@Override
+	public ConnectionListener serve(CallerRequest request, AnswerSink sink) {
+		ControlCall call = this.protocol.readControlCall(request);
+		if (call instanceof ControlCall.Readiness) {
+			answer(sink, this.ready.getAsBoolean() ? 200 : 503, EMPTY_OBJECT);
+		}
+		else if (call instanceof ControlCall.Unreadable unreadable) {
+			EventLog.write(EventKind.REPORT_REFUSED, "path", request.path(), "reason", unreadable.reason());
+			answer(sink, 400, message(unreadable.reason()));
+		}
+		else if (call instanceof ControlCall.Unknown || this.port.isEmpty()) {
+			answer(sink, 404, message("this VM does not serve the path"));
+		}
+		else {
+			serve(call, this.port.get(), sink);
+		}
+		return null;
+	}
+
+	private void serve(ControlCall call, ControlPort control, AnswerSink sink) {
+		if (call instanceof ControlCall.Resolve resolve) {
+			Optional<byte[]> directory = control.resolve(resolve);
+			answer(sink, directory.isPresent() ? 200 : 503, directory.orElse(EMPTY_OBJECT));
+		}
+		else if (call instanceof ControlCall.Report report) {
+			boolean leaving = report.report().condition() != TargetCondition.READY;
+			control.report(report.report());
+			answer(sink, (leaving && !control.isInTouch()) ? 503 : 200, EMPTY_OBJECT);
+		}
+		else if (call instanceof ControlCall.Leave leave) {
+			control.leave(leave.target());
+			answer(sink, control.isInTouch() ? 200 : 503, EMPTY_OBJECT);
+		}
+		else if (call instanceof ControlCall.Declare declare) {
+			long version = declare.declaration().version();
+			answerOrder(control.propose(new DeclarationCommand.Declare(version, declare.document())),
+					"declare " + version, sink);
+		}
+		else if (call instanceof ControlCall.Evacuate evacuate) {
+			answerOrder(control.propose(new DeclarationCommand.Evacuate(evacuate.dataCentre(), evacuate.evacuated())),
+					(evacuate.evacuated() ? "evacuate " : "end evacuation of ") + evacuate.dataCentre(), sink);
+		}
+		else if (call instanceof ControlCall.ReadDeclaration) {
+			control.read().whenCompleteAsync((state, failure) -> answerRead(state, failure, sink), this.loop);
+		}
+	}
+
+	private void answerOrder(CompletableFuture<Optional<DeclaredState>> outcome, String order, AnswerSink sink) {
+		long began = System.nanoTime();
+		outcome.whenCompleteAsync((state, failure) -> {
+			boolean done = failure == null && state.isPresent();
+			EventLog.write(EventKind.OPERATOR_CALL, "order", order, "done", done, "index",
+					done ? state.get().index() : null, "millis", (System.nanoTime() - began) / 1_000_000);
+			answer(sink, done ? 200 : 503, EMPTY_OBJECT);
+		}, this.loop);
+	}
+
+	private static void answerRead(Optional<DeclaredState> state, Throwable failure, AnswerSink sink) {
+		boolean known = failure == null && state.isPresent();
+		EventLog.write(EventKind.OPERATOR_CALL, "order", "read", "done", known, "version",
+				known ? state.get().version() : null);
+		if (known && state.get().isDeclared()) {
+			answer(sink, 200, state.get().document());
+			return;
+		}
+		answer(sink, known ? 404 : 503, message("the latest declaration can't be told now"));
+	}
+
+	private static byte[] message(String text) {
+		return JsonNodeFactory.instance.objectNode().put("message", text).toString().getBytes(StandardCharsets.UTF_8);
+	}
+
+	private static void answer(AnswerSink sink, int status, byte[] body) {
+		HttpHeaders headers = new DefaultHttpHeaders();
+		headers.set(HttpHeaderNames.CONTENT_TYPE, "application/json");
+		sink.whole(new AnswerHead(status, headers), body);
+	}
+
+}
--- /dev/null
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/GatewayContext.java
@@ -0,0 +1,29 @@
+package org.vanillatrestle.daemon.internal.gateway;
+
+import io.netty.channel.EventLoop;
+import org.apache.commons.rng.UniformRandomProvider;
+import org.vanillatrestle.RegionId;
+import org.vanillatrestle.daemon.internal.target.TargetClient;
+import org.vanillatrestle.daemon.protocol.GatewayProtocol;
+import org.vanillatrestle.internal.gateway.GatewayTargets;
+import org.vanillatrestle.internal.gateway.RetryBudget;
+
+/**
+ * What every request of an entry VM works with.
+ * <p>
+ * Used on the VM's event loop.
+ *
+ * @param loop the VM's event loop
+ * @param region this VM's region
+ * @param protocol the platform's interfaces
+ * @param targets the targets of this region
+ * @param remotes the entry VMs of other regions
+ * @param client sends requests to targets and other VMs
+ * @param budget bounds repeats
+ * @param journal logs and counts what becomes of requests
+ * @param random picks services by weight
+ */
+record GatewayContext(EventLoop loop, RegionId region, GatewayProtocol protocol, GatewayTargets targets,
+		RemoteEntries remotes, TargetClient client, RetryBudget budget, RequestJournal journal,
+		UniformRandomProvider random) {
+}
--- /dev/null
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/RemoteEntries.java
@@ -0,0 +1,115 @@
+package org.vanillatrestle.daemon.internal.gateway;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+
+import org.apache.commons.rng.UniformRandomProvider;
+import org.vanillatrestle.RegionId;
+import org.vanillatrestle.ServiceName;
+import org.vanillatrestle.VmId;
+import org.vanillatrestle.internal.declaration.DeclaredRoute;
+import org.vanillatrestle.internal.fleet.EntryReport;
+import org.vanillatrestle.internal.fleet.ServiceWait;
+import org.vanillatrestle.internal.target.TargetAddress;
+
+/**
+ * The entry VMs of other regions, to which a request may be sent once.
+ * <p>
+ * Used on the VM's event loop.
+ */
+final class RemoteEntries {
+
+	/**
+	 * What the way to another region and back adds to the time until an answer begins.
+	 */
+	private static final long WAY_MILLIS = 200;
+
+	private static final long AVOID_NANOS = TimeUnit.SECONDS.toNanos(2);
+
+	private final RegionId ownRegion;
+
+	private final UniformRandomProvider random;
+
+	private final Map<VmId, Long> avoidedNanos = new HashMap<>();
+
+	private List<EntryReport> entries = List.of();
+
+	RemoteEntries(RegionId ownRegion, UniformRandomProvider random) {
+		this.ownRegion = ownRegion;
+		this.random = random;
+	}
+
+	void update(List<EntryReport> fresh) {
+		this.entries = fresh.stream()
+			.filter((entry) -> entry.ready() && !entry.region().equals(this.ownRegion))
+			.toList();
+	}
+
+	/**
+	 * Notes that a VM could not be reached or broke off.
+	 * @param vm the VM
+	 */
+	void failed(VmId vm) {
+		this.avoidedNanos.put(vm, System.nanoTime());
+	}
+
+	/**
+	 * Chooses the VM where a request's answer is expected to begin first.
+	 * @param route the route, whose homes bind
+	 * @param service the service
+	 * @param tried the VMs that the request was sent to already
+	 * @return the choice, empty if no VM has room
+	 */
+	Optional<RemoteChoice> choose(DeclaredRoute route, ServiceName service, Set<VmId> tried) {
+		long now = System.nanoTime();
+		this.avoidedNanos.values().removeIf((since) -> now - since > AVOID_NANOS);
+		List<RemoteChoice> best = new ArrayList<>();
+		long bestWait = Long.MAX_VALUE;
+		for (EntryReport entry : this.entries) {
+			boolean usable = route.allows(entry.region()) && !tried.contains(entry.vm())
+					&& !this.avoidedNanos.containsKey(entry.vm());
+			long wait = usable ? waitOf(entry, service) : -1;
+			if (wait < 0 || wait > bestWait) {
+				continue;
+			}
+			if (wait < bestWait) {
+				best.clear();
+				bestWait = wait;
+			}
+			best.add(new RemoteChoice(entry.vm(), entry.region(), address(entry), wait + WAY_MILLIS));
+		}
+		return best.isEmpty() ? Optional.empty() : Optional.of(best.get(this.random.nextInt(best.size())));
+	}
+
+	private static long waitOf(EntryReport entry, ServiceName service) {
+		return entry.waits()
+			.stream()
+			.filter((wait) -> wait.service().equals(service))
+			.mapToLong(ServiceWait::waitMillis)
+			.findFirst()
+			.orElse(-1);
+	}
+
+	private static TargetAddress address(EntryReport entry) {
+		String address = entry.forwardAddress();
+		int colon = address.lastIndexOf(':');
+		return new TargetAddress(address.substring(0, colon), Integer.parseInt(address.substring(colon + 1)));
+	}
+
+	/**
+	 * A VM that was chosen.
+	 *
+	 * @param vm the VM
+	 * @param region its region
+	 * @param address where it takes requests from other VMs
+	 * @param waitMillis the estimated time until the answer begins
+	 */
+	record RemoteChoice(VmId vm, RegionId region, TargetAddress address, long waitMillis) {
+	}
+
+}
--- /dev/null
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/RoutedAttempt.java
@@ -0,0 +1,216 @@
+package org.vanillatrestle.daemon.internal.gateway;
+
+import java.util.Optional;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
+import org.vanillatrestle.TargetId;
+import org.vanillatrestle.Verdict;
+import org.vanillatrestle.daemon.internal.logging.EventKind;
+import org.vanillatrestle.daemon.internal.pipeline.AnswerHead;
+import org.vanillatrestle.daemon.internal.pipeline.AttemptHandle;
+import org.vanillatrestle.daemon.internal.pipeline.AttemptListener;
+import org.vanillatrestle.daemon.internal.pipeline.HeaderNames;
+import org.vanillatrestle.daemon.internal.target.TargetRequest;
+import org.vanillatrestle.daemon.protocol.AnswerFacts;
+import org.vanillatrestle.daemon.protocol.SendTerms;
+import org.vanillatrestle.internal.gateway.Choice;
+import org.vanillatrestle.internal.gateway.Flight;
+import org.vanillatrestle.internal.target.TargetAddress;
+
+/**
+ * One attempt of a request: at a target of this region, or by way of a VM of another.
+ * <p>
+ * Used on the VM's event loop.
+ */
+final class RoutedAttempt implements AttemptListener {
+
+	/**
+	 * Names the service of a request that another VM sends on.
+	 */
+	static final String SERVICE_HEADER = "Vanillatrestle-Service";
+
+	private static final int MAX_PRIORITY = 9;
+
+	private final RoutedRequest request;
+
+	private final TargetAddress address;
+
+	private final Optional<Flight> flight;
+
+	private final Optional<RemoteEntries.RemoteChoice> remote;
+
+	private final String place;
+
+	private AttemptHandle handle;
+
+	private AnswerFacts facts;
+
+	private Verdict remoteVerdict;
+
+	private int status;
+
+	private boolean done;
+
+	private RoutedAttempt(RoutedRequest request, TargetAddress address, Optional<Flight> flight,
+			Optional<RemoteEntries.RemoteChoice> remote, String place) {
+		this.request = request;
+		this.address = address;
+		this.flight = flight;
+		this.remote = remote;
+		this.place = place;
+	}
+
+	static RoutedAttempt atTarget(RoutedRequest request, Flight flight, Choice choice) {
+		TargetId id = choice.target().id();
+		return new RoutedAttempt(request, choice.target().report().address(), Optional.of(flight), Optional.empty(),
+				id.value());
+	}
+
+	static RoutedAttempt atVm(RoutedRequest request, RemoteEntries.RemoteChoice choice) {
+		return new RoutedAttempt(request, choice.address(), Optional.empty(), Optional.of(choice), choice.vm().value());
+	}
+
+	void start() {
+		GatewayContext context = this.request.context();
+		Optional<TargetId> expected = this.flight.map((sent) -> sent.target().id());
+		Optional<Integer> priority = expected
+			.map((target) -> Math.min(MAX_PRIORITY, Math.max(0, this.request.route().priority())));
+		long left = Math.max(1, this.request.leftMillis());
+		SendTerms terms = new SendTerms(expected, left, priority, this.request.relay().lastEventId());
+		HttpHeaders headers = context.protocol().outgoing(this.request.request().headers(), terms);
+		headers.remove(SERVICE_HEADER);
+		headers.set(HttpHeaderNames.HOST, this.request.request().header(HttpHeaderNames.HOST));
+		if (this.remote.isPresent()) {
+			headers.set(SERVICE_HEADER, this.request.shape().service().name().value());
+		}
+		String query = this.request.request().query();
+		String uri = this.request.request().path() + (query.isEmpty() ? "" : '?' + query);
+		this.handle = context.client()
+			.send(new TargetRequest(this.address, this.request.request().method(), uri, headers,
+					this.request.request().body(), false,
+					(answer) -> context.protocol().isAnswerTo(answer, this.request.id())), this);
+	}
+
+	String place() {
+		return this.place;
+	}
+
+	/**
+	 * Stops the attempt.
+	 * @return whether it may have run
+	 */
+	Verdict cancel() {
+		if (this.done) {
+			return Verdict.NOT_RUN;
+		}
+		this.done = true;
+		this.flight.ifPresent(Flight::end);
+		return this.handle.cancel();
+	}
+
+	void setReading(boolean reading) {
+		if (!this.done) {
+			this.handle.setReading(reading);
+		}
+	}
+
+	@Override
+	public void onHead(AnswerHead head) {
+		this.status = head.status();
+		this.facts = this.request.context().protocol().readAnswer(head);
+		String verdict = head.headers().get(HeaderNames.VERDICT);
+		if (this.remote.isPresent() && verdict != null) {
+			this.remoteVerdict = (verdict.equals(Verdict.NOT_RUN.name())) ? Verdict.NOT_RUN : Verdict.MAY_HAVE_RUN;
+		}
+		if (this.status / 100 == 2) {
+			this.flight.ifPresent((sent) -> sent.answering(System.nanoTime()));
+		}
+		if (!this.request.relay().isBegun() || this.status / 100 == 2) {
+			this.request.relay().head(head);
+		}
+	}
+
+	@Override
+	public void onBody(ByteBuf data) {
+		if (this.request.relay().isBegun() && this.status / 100 != 2) {
+			data.release();
+			return;
+		}
+		if (this.request.relay().body(data)) {
+			this.request.firstPart();
+		}
+		if (this.request.relay().hasGap()) {
+			this.handle.cancel();
+			onFailure(Verdict.MAY_HAVE_RUN, "the stream goes on with a gap");
+		}
+	}
+
+	@Override
+	public void onEnd() {
+		this.done = true;
+		long now = System.nanoTime();
+		if (this.remoteVerdict != null) {
+			this.request.attemptFailed(this.remoteVerdict, false, "refused by the VM with " + this.status);
+			return;
+		}
+		if (this.facts.notRun()) {
+			this.flight.ifPresent(Flight::end);
+			this.request.attemptFailed(Verdict.NOT_RUN, true, "not run, status " + this.status);
+			return;
+		}
+		boolean success = this.status / 100 == 2;
+		if (success && this.facts.encoded()) {
+			failed(false, now);
+			this.request.attemptFailed(Verdict.MAY_HAVE_RUN, true, "the answer is encoded");
+			return;
+		}
+		if (!success && (this.request.relay().isBegun() || (this.status >= 500 && this.request.hasAttemptsLeft()))) {
+			this.flight.ifPresent((sent) -> sent.answeredWithError(now));
+			if (!this.request.relay().isBegun()) {
+				this.request.relay().keep();
+			}
+			this.request.attemptFailed(Verdict.MAY_HAVE_RUN, true, "status " + this.status);
+			return;
+		}
+		if (!this.request.relay().end()) {
+			failed(false, now);
+			this.request.attemptFailed(Verdict.MAY_HAVE_RUN, true, "the stream ends within an event");
+			return;
+		}
+		this.flight.ifPresent((sent) -> {
+			if (this.status >= 500) {
+				sent.answeredWithError(now);
+			}
+			else {
+				sent.answered(now);
+			}
+		});
+		this.request.answered();
+	}
+
+	@Override
+	public void onFailure(Verdict verdict, String detail) {
+		if (this.done) {
+			return;
+		}
+		this.done = true;
+		boolean unreachable = verdict == Verdict.NOT_RUN;
+		failed(unreachable, System.nanoTime());
+		this.remote.ifPresent((choice) -> this.request.context().remotes().failed(choice.vm()));
+		this.request.attemptFailed(verdict, !unreachable, detail);
+	}
+
+	private void failed(boolean unreachable, long now) {
+		this.flight.ifPresent((sent) -> {
+			if (sent.failed(unreachable, now)) {
+				this.request.context()
+					.journal()
+					.log(EventKind.TARGET_EJECTED, "target", this.place, "unreachable", unreachable);
+				this.request.context().journal().count("ejections", this.request.shape().service().name().value());
+			}
+		});
+	}
+
+}
--- /dev/null
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/RoutedRequest.java
@@ -0,0 +1,346 @@
+package org.vanillatrestle.daemon.internal.gateway;
+
+import java.util.HashSet;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+
+import io.netty.util.concurrent.Future;
+import org.vanillatrestle.TargetId;
+import org.vanillatrestle.Verdict;
+import org.vanillatrestle.VmId;
+import org.vanillatrestle.daemon.internal.http.ConnectionListener;
+import org.vanillatrestle.daemon.internal.logging.EventKind;
+import org.vanillatrestle.daemon.internal.pipeline.AnswerSink;
+import org.vanillatrestle.daemon.internal.pipeline.CallerRequest;
+import org.vanillatrestle.daemon.protocol.CallDetails;
+import org.vanillatrestle.internal.declaration.DeclaredRoute;
+import org.vanillatrestle.internal.gateway.Choice;
+import org.vanillatrestle.internal.gateway.RequestShape;
+
+/**
+ * One request on a declared route, from its arrival to its answer.
+ * <p>
+ * Invariants: it ends once; it is sent again only where it has not run for certain or the
+ * route allows a repeat; a refusal that promises "not run" is given only if no attempt
+ * may have run. Used on the VM's event loop.
+ */
+final class RoutedRequest implements ConnectionListener {
+
+	/**
+	 * The most times a request is sent, with those that targets turned away.
+	 */
+	private static final int MAX_SENDS = 4;
+
+	/**
+	 * How long a request may wait for room, as a part of its objective.
+	 */
+	private static final double WAIT_PART = 0.12;
+
+	private static final long WAIT_STEP_MILLIS = 25;
+
+	/**
+	 * Beyond this part of the objective a local wait is compared with other regions.
+	 */
+	private static final double AWAY_PART = 0.4;
+
+	/**
+	 * How much shorter the wait in another region must be.
+	 */
+	private static final double AWAY_GAIN = 0.75;
+
+	/**
+	 * The expected wait, as a part of the objective, beyond which a request is refused.
+	 */
+	private static final double PATIENCE_PART = 1.5;
+
+	private static final long MIN_RETRY_AFTER_MILLIS = 250;
+
+	private static final long MAX_RETRY_AFTER_MILLIS = 3_000;
+
+	private final GatewayContext context;
+
+	private final DeclaredRoute route;
+
+	private final RequestShape shape;
+
+	private final CallerRequest request;
+
+	private final CallDetails details;
+
+	private final AnswerSink sink;
+
+	private final boolean forwarded;
+
+	private final long arrivedNanos = System.nanoTime();
+
+	private final long leftAtArrivalMillis;
+
+	private final Set<TargetId> triedTargets = new HashSet<>();
+
+	private final Set<VmId> triedVms = new HashSet<>();
+
+	private final AnswerRelay relay;
+
+	private Verdict verdict = Verdict.NOT_RUN;
+
+	private int sends;
+
+	private int runs;
+
+	private RoutedAttempt attempt;
+
+	private Future<?> timer;
+
+	private Future<?> waiting;
+
+	private boolean ended;
+
+	RoutedRequest(GatewayContext context, DeclaredRoute route, RequestShape shape, CallerRequest request,
+			CallDetails details, AnswerSink sink, boolean forwarded) {
+		this.context = context;
+		this.route = route;
+		this.shape = shape;
+		this.request = request;
+		this.details = details;
+		this.sink = sink;
+		this.forwarded = forwarded;
+		long deadline = (details.deadlineMillis() >= 0) ? details.deadlineMillis() : route.timeoutMillis();
+		this.leftAtArrivalMillis = Math.min(deadline, route.timeoutMillis());
+		this.relay = new AnswerRelay(sink, route.isStreaming(), details.resumeAfterEvent());
+	}
+
+	void start() {
+		if (!this.forwarded) {
+			this.context.budget().request(this.shape.service().name(), this.arrivedNanos);
+		}
+		this.timer = this.context.loop().schedule(this::timedOut, this.leftAtArrivalMillis, TimeUnit.MILLISECONDS);
+		place();
+	}
+
+	private void place() {
+		this.waiting = null;
+		if (this.ended) {
+			return;
+		}
+		long now = System.nanoTime();
+		Optional<Choice> local = this.route.allows(this.context.region())
+				? this.context.targets().choose(this.shape, this.triedTargets, now) : Optional.empty();
+		Optional<RemoteEntries.RemoteChoice> remote = this.forwarded ? Optional.empty()
+				: this.context.remotes().choose(this.route, this.shape.service().name(), this.triedVms);
+		long localMillis = local.map(Choice::waitMillis).orElse(Long.MAX_VALUE);
+		long remoteMillis = remote.map(RemoteEntries.RemoteChoice::waitMillis).orElse(Long.MAX_VALUE);
+		boolean away = remote.isPresent() && localMillis > AWAY_PART * this.route.objectiveMillis()
+				&& remoteMillis < AWAY_GAIN * localMillis;
+		long expectedMillis = away ? remoteMillis : localMillis;
+		if (expectedMillis == Long.MAX_VALUE) {
+			waitForRoom();
+			return;
+		}
+		if (expectedMillis > Math.min(leftMillis(), PATIENCE_PART * this.route.objectiveMillis())) {
+			refuse(GatewayRefusal.NO_CAPACITY, expectedMillis - this.route.objectiveMillis());
+			return;
+		}
+		if (away) {
+			sendAway(remote.get(), localMillis);
+		}
+		else {
+			send(local.get(), now);
+		}
+	}
+
+	private void waitForRoom() {
+		if (waitedMillis() < WAIT_PART * this.route.objectiveMillis()) {
+			this.waiting = this.context.loop().schedule(this::place, WAIT_STEP_MILLIS, TimeUnit.MILLISECONDS);
+			return;
+		}
+		refuse((this.sends == 0) ? GatewayRefusal.NO_CAPACITY : GatewayRefusal.NOT_RUN, this.route.objectiveMillis());
+	}
+
+	private void send(Choice choice, long now) {
+		this.triedTargets.add(choice.target().id());
+		this.sends++;
+		this.attempt = RoutedAttempt.atTarget(this, this.context.targets().begin(choice, this.shape, now), choice);
+		this.attempt.start();
+	}
+
+	private void sendAway(RemoteEntries.RemoteChoice choice, long localMillis) {
+		this.triedVms.add(choice.vm());
+		this.sends++;
+		this.context.journal()
+			.log(EventKind.SENT_AWAY, "request", id(), "vm", choice.vm(), "region", choice.region(), "waitMillis",
+					choice.waitMillis(), "localWaitMillis", (localMillis == Long.MAX_VALUE) ? -1 : localMillis);
+		this.context.journal().count("sent.away", service());
+		this.attempt = RoutedAttempt.atVm(this, choice);
+		this.attempt.start();
+	}
+
+	/**
+	 * An attempt ended without an answer to deliver.
+	 * @param attemptVerdict whether it may have run
+	 * @param arrived whether it reached a target
+	 * @param detail what happened
+	 */
+	void attemptFailed(Verdict attemptVerdict, boolean arrived, String detail) {
+		this.verdict = this.verdict.and(attemptVerdict);
+		if (attemptVerdict != Verdict.NOT_RUN) {
+			this.runs++;
+		}
+		this.context.journal()
+			.log(EventKind.ATTEMPT_FAILED, "request", id(), "at", this.attempt.place(), "verdict", attemptVerdict,
+					"detail", detail, "atMillis", waitedMillis());
+		if (this.ended) {
+			return;
+		}
+		if (mayRepeat(attemptVerdict, arrived)) {
+			this.context.journal()
+				.log(EventKind.RETRIED, "request", id(), "sends", this.sends, "runs", this.runs, "budgetLeft",
+						Math.floor(this.context.budget().left(this.shape.service().name(), System.nanoTime())));
+			this.context.journal().count("retries", service());
+			place();
+			return;
+		}
+		fail(GatewayRefusal.TARGET_FAILED);
+	}
+
+	private boolean mayRepeat(Verdict attemptVerdict, boolean arrived) {
+		boolean allowed = attemptVerdict == Verdict.NOT_RUN || this.route.isRepeatable();
+		if (!allowed || this.sends >= MAX_SENDS || this.runs >= this.route.maxAttempts() || leftMillis() <= 0) {
+			return false;
+		}
+		return !arrived || this.context.budget().tryRepeat(this.shape.service().name(), System.nanoTime());
+	}
+
+	private void fail(GatewayRefusal unlessNotRun) {
+		if (this.relay.isBegun() || this.relay.hasKept()) {
+			if (this.relay.isBegun()) {
+				this.sink.abort();
+			}
+			else {
+				this.relay.deliverKept();
+			}
+			end(EventKind.FAILED, unlessNotRun.name());
+			return;
+		}
+		if (this.verdict == Verdict.NOT_RUN) {
+			refuse((unlessNotRun == GatewayRefusal.TIMED_OUT) ? GatewayRefusal.OUT_OF_TIME : GatewayRefusal.NOT_RUN,
+					MIN_RETRY_AFTER_MILLIS);
+			return;
+		}
+		unlessNotRun.answer(this.sink, -1);
+		end(EventKind.FAILED, unlessNotRun.name());
+	}
+
+	private void refuse(GatewayRefusal refusal, long retryAfterMillis) {
+		if (this.relay.isBegun() || this.relay.hasKept() || this.verdict != Verdict.NOT_RUN) {
+			fail(GatewayRefusal.TARGET_FAILED);
+			return;
+		}
+		long after = Math.max(MIN_RETRY_AFTER_MILLIS, Math.min(MAX_RETRY_AFTER_MILLIS, retryAfterMillis));
+		refusal.answer(this.sink, after);
+		end(EventKind.REFUSED, refusal.name());
+	}
+
+	/**
+	 * The answer was delivered whole.
+	 */
+	void answered() {
+		end(EventKind.ANSWERED, "");
+	}
+
+	private void timedOut() {
+		if (this.ended) {
+			return;
+		}
+		if (this.attempt != null) {
+			this.verdict = this.verdict.and(this.attempt.cancel());
+		}
+		fail(GatewayRefusal.TIMED_OUT);
+	}
+
+	@Override
+	public void gone() {
+		if (this.ended) {
+			return;
+		}
+		if (this.attempt != null) {
+			this.attempt.cancel();
+		}
+		end(EventKind.CALLER_GONE, "");
+	}
+
+	@Override
+	public void writabilityChanged() {
+		if (this.attempt != null) {
+			this.attempt.setReading(this.sink.isWritable());
+		}
+	}
+
+	private void end(EventKind outcome, String reason) {
+		this.ended = true;
+		this.timer.cancel(false);
+		if (this.waiting != null) {
+			this.waiting.cancel(false);
+		}
+		long now = System.nanoTime();
+		this.context.journal().ended(service(), outcome, reason, now - this.arrivedNanos);
+		this.context.journal()
+			.log(outcome, "request", id(), "route", this.route.name(), "service", service(), "reason",
+					reason.isEmpty() ? null : reason, "at", (this.attempt != null) ? this.attempt.place() : null,
+					"sends", this.sends, "verdict", this.verdict, "millis", waitedMillis(), "leftMillis",
+					this.leftAtArrivalMillis, "tokens", this.shape.promptTokens(), "forwarded", this.forwarded);
+	}
+
+	GatewayContext context() {
+		return this.context;
+	}
+
+	CallerRequest request() {
+		return this.request;
+	}
+
+	DeclaredRoute route() {
+		return this.route;
+	}
+
+	RequestShape shape() {
+		return this.shape;
+	}
+
+	AnswerRelay relay() {
+		return this.relay;
+	}
+
+	boolean isEnded() {
+		return this.ended;
+	}
+
+	/**
+	 * Whether an error of a target may be answered by another attempt.
+	 * @return whether there is an attempt left
+	 */
+	boolean hasAttemptsLeft() {
+		return this.route.isRepeatable() && this.runs + 1 < this.route.maxAttempts() && this.sends < MAX_SENDS;
+	}
+
+	String id() {
+		return this.details.requestId();
+	}
+
+	private String service() {
+		return this.shape.service().name().value();
+	}
+
+	long leftMillis() {
+		return this.leftAtArrivalMillis - waitedMillis();
+	}
+
+	private long waitedMillis() {
+		return TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - this.arrivedNanos);
+	}
+
+	void firstPart() {
+		this.context.journal().firstPart(service(), System.nanoTime() - this.arrivedNanos);
+	}
+
+}
--- /dev/null
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * The way of a request on a declared route.
+ */
+package org.vanillatrestle.daemon.internal.gateway;
--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/http/CallerConnection.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/http/CallerConnection.java
@@ -3,6 +3,7 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.BooleanSupplier;
 
 import io.netty.buffer.ByteBuf;
@@ -45,6 +46,8 @@
 
 	private final BooleanSupplier shuttingDown;
 
+	private final AtomicInteger busyCount;
+
 	private final Deque<HttpObject> waiting = new ArrayDeque<>();
 
 	private HttpRequest head;
@@ -61,11 +64,13 @@
 
 	private Future<?> timer;
 
-	CallerConnection(HttpLimits limits, BodyMemory memory, HttpRoutes routes, BooleanSupplier shuttingDown) {
+	CallerConnection(HttpLimits limits, BodyMemory memory, HttpRoutes routes, BooleanSupplier shuttingDown,
+			AtomicInteger busyCount) {
 		this.limits = limits;
 		this.memory = memory;
 		this.routes = routes;
 		this.shuttingDown = shuttingDown;
+		this.busyCount = busyCount;
 	}
 
 	@Override
@@ -172,6 +177,7 @@
 		dropBody();
 		this.head = null;
 		this.busy = true;
+		this.busyCount.incrementAndGet();
 		boolean keepAlive = HttpUtil.isKeepAlive(request) && !this.shuttingDown.getAsBoolean();
 		HttpAnswerSink sink = new HttpAnswerSink(context, request.protocolVersion(), keepAlive,
 				() -> answered(context));
@@ -194,12 +200,19 @@
 
 	private void answered(ChannelHandlerContext context) {
 		releaseMemory();
-		this.busy = false;
+		idle();
 		this.listener = null;
 		startIdleTimer(context);
 		context.executor().execute(() -> readWaiting(context));
 	}
 
+	private void idle() {
+		if (this.busy) {
+			this.busy = false;
+			this.busyCount.decrementAndGet();
+		}
+	}
+
 	private void readWaiting(ChannelHandlerContext context) {
 		while (!this.busy && !this.waiting.isEmpty()) {
 			read(context, this.waiting.poll());
@@ -255,6 +268,7 @@
 	@Override
 	public void channelInactive(ChannelHandlerContext context) {
 		stopTimer();
+		idle();
 		dropBody();
 		releaseMemory();
 		this.waiting.forEach(ReferenceCountUtil::release);
--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/http/HttpFront.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/http/HttpFront.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.util.concurrent.atomic.AtomicInteger;
 
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.Channel;
@@ -47,6 +48,8 @@
 
 	private final ChannelGroup connections;
 
+	private final AtomicInteger busy = new AtomicInteger();
+
 	private volatile boolean shuttingDown;
 
 	private Channel server;
@@ -107,7 +110,7 @@
 			.setMaxChunkSize(MAX_CHUNK_BYTES);
 		channel.pipeline().addLast(new HttpServerCodec(config));
 		channel.pipeline()
-			.addLast(new CallerConnection(this.limits, this.memory, this.routes, () -> this.shuttingDown));
+			.addLast(new CallerConnection(this.limits, this.memory, this.routes, () -> this.shuttingDown, this.busy));
 	}
 
 	/**
@@ -133,6 +136,14 @@
 		return this.memory.usedBytes();
 	}
 
+	/**
+	 * Returns the number of requests in progress. May be called by any thread.
+	 * @return the number
+	 */
+	public int busyCount() {
+		return this.busy.get();
+	}
+
 	@Override
 	public void close() {
 		if (this.server != null) {
--- /dev/null
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/logging/EventKind.java
@@ -0,0 +1,63 @@
+package org.vanillatrestle.daemon.internal.logging;
+
+import java.util.Locale;
+
+/**
+ * The events of the structured log.
+ */
+public enum EventKind {
+
+	/** The process has started. */
+	STARTED,
+	/** The process has begun to stop. */
+	STOPPING,
+	/** The process ends. */
+	STOPPED,
+	/** The settings were read again. */
+	RELOADED,
+	/** A link to another VM is up. */
+	PEER_CONNECTED,
+	/** The link to another VM is lost. */
+	PEER_LOST,
+	/** A replica leads, follows or stopped. */
+	REPLICA_ROLE,
+	/** The storage of a replica failed. */
+	STORAGE_FAILED,
+	/** The storage of a replica works again. */
+	STORAGE_REOPENED,
+	/** A declared state is in force at this VM. */
+	DECLARED,
+	/** An operator's call was answered. */
+	OPERATOR_CALL,
+	/** A target's report changed what is believed of it. */
+	TARGET_CHANGED,
+	/** A target's report can't be read or can't be acknowledged. */
+	REPORT_REFUSED,
+	/** A target gets no requests for a while. */
+	TARGET_EJECTED,
+	/** An attempt ended without a whole answer. */
+	ATTEMPT_FAILED,
+	/** A request goes to another target. */
+	RETRIED,
+	/** A request is sent to another region. */
+	SENT_AWAY,
+	/** A request was refused. */
+	REFUSED,
+	/** A request failed after it may have run. */
+	FAILED,
+	/** The caller left before its answer was whole. */
+	CALLER_GONE,
+	/** A request was answered. */
+	ANSWERED;
+
+	private final String label = name().toLowerCase(Locale.ROOT).replace('_', '-');
+
+	/**
+	 * Returns the name in log lines.
+	 * @return the name
+	 */
+	public String label() {
+		return this.label;
+	}
+
+}
--- /dev/null
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/logging/EventLog.java
@@ -0,0 +1,54 @@
+package org.vanillatrestle.daemon.internal.logging;
+
+import com.fasterxml.jackson.core.io.JsonStringEncoder;
+import org.jboss.logging.Logger;
+
+/**
+ * The structured log: one JSON object a line, on standard output.
+ * <p>
+ * Thread safe, never blocks. No key, body or prompt may be logged.
+ */
+public final class EventLog {
+
+	/**
+	 * The category whose lines are written as they are.
+	 */
+	public static final String CATEGORY = "vanillatrestle.events";
+
+	private static final Logger logger = Logger.getLogger(CATEGORY);
+
+	private EventLog() {
+	}
+
+	/**
+	 * Writes an event.
+	 * @param kind the kind of event
+	 * @param fields names and values by turns; null values are left out
+	 */
+	public static void write(EventKind kind, Object... fields) {
+		if (!logger.isInfoEnabled()) {
+			return;
+		}
+		StringBuilder line = new StringBuilder(192);
+		line.append("{\"time\":").append(System.currentTimeMillis());
+		line.append(",\"event\":\"").append(kind.label()).append('"');
+		for (int i = 0; i + 1 < fields.length; i += 2) {
+			if (fields[i + 1] != null) {
+				line.append(",\"").append(fields[i]).append("\":");
+				value(line, fields[i + 1]);
+			}
+		}
+		logger.info(line.append('}'));
+	}
+
+	private static void value(StringBuilder line, Object value) {
+		if (value instanceof Number || value instanceof Boolean) {
+			line.append(value);
+			return;
+		}
+		line.append('"');
+		JsonStringEncoder.getInstance().quoteAsString(value.toString(), line);
+		line.append('"');
+	}
+
+}
--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/logging/LoggingSetup.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/logging/LoggingSetup.java
@@ -43,6 +43,29 @@
 		context.getLogger("org.vanillatrestle").setLevel(Level.toLevel(level));
 	}
 
+	/**
+	 * Replaces the backend's configuration by the structured log: JSON lines on standard
+	 * output, which are dropped rather than waited for.
+	 * @return the appender, to be stopped last
+	 */
+	public static BoundedAppender applyStructured() {
+		LoggerContext context = (LoggerContext) LoggerFactory.getILoggerFactory();
+		context.reset();
+		PatternLayoutEncoder events = new PatternLayoutEncoder();
+		events.setContext(context);
+		events.setCharset(StandardCharsets.UTF_8);
+		events.setPattern("%msg%n");
+		events.start();
+		BoundedAppender appender = new BoundedAppender(System.out, events, encoder(LogFormat.JSON, context));
+		appender.setContext(context);
+		appender.start();
+		Logger root = context.getLogger(org.slf4j.Logger.ROOT_LOGGER_NAME);
+		root.setLevel(Level.WARN);
+		root.addAppender(appender);
+		context.getLogger(EventLog.CATEGORY).setLevel(Level.INFO);
+		return appender;
+	}
+
 	private static Encoder<ILoggingEvent> encoder(LogFormat format, LoggerContext context) {
 		if (format == LogFormat.JSON) {
 			JsonEncoder encoder = new JsonEncoder();
--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/replica/ReplicaHost.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/replica/ReplicaHost.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.LinkedBlockingQueue;
@@ -101,6 +102,7 @@
 		this.log = new ReplicatedLog(storage.replica(), settings.log(), storage.recovered(),
 				RandomSource.SPLIT_MIX_64.create(), nowNanos());
 		this.log.setWantedVoters(settings.wantedVoters());
+		this.log.setVoterTarget(settings.voterTarget());
 		this.status = this.log.status(nowNanos());
 		this.thread = new Thread(this::run, "replica-" + name);
 	}
@@ -219,6 +221,15 @@
 		return future;
 	}
 
+	/**
+	 * Changes the VMs that should hold a replica.
+	 * @param vms the VMs
+	 */
+	public void setWantedVoters(Set<VmId> vms) {
+		submit(() -> this.log.setWantedVoters(vms), () -> {
+		});
+	}
+
 	/**
 	 * The state as of the last heartbeat or change.
 	 * @return the status
--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/replica/ReplicaSettings.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/replica/ReplicaSettings.java
@@ -12,11 +12,12 @@
  *
  * @param log times and sizes of the log
  * @param wantedVoters the VMs that should hold a voter each
+ * @param voterTarget how many of them should vote at the same time
  * @param batchLimit the most inputs handled between two syncs
  * @param queueLimit the most inputs that wait
  * @param waitingBytesLimit the most bytes of commands that are not acknowledged yet
  */
-public record ReplicaSettings(LogSettings log, Set<VmId> wantedVoters, int batchLimit, int queueLimit,
+public record ReplicaSettings(LogSettings log, Set<VmId> wantedVoters, int voterTarget, int batchLimit, int queueLimit,
 		int waitingBytesLimit) {
 
 	private static final int DEFAULT_BATCH = 1024;
@@ -35,8 +36,8 @@
 	 * @return settings
 	 */
 	public static ReplicaSettings of(Set<VmId> wantedVoters) {
-		return new ReplicaSettings(LogSettings.defaults(), wantedVoters, DEFAULT_BATCH, DEFAULT_QUEUE,
-				DEFAULT_WAITING_BYTES);
+		return new ReplicaSettings(LogSettings.defaults(), wantedVoters, Integer.MAX_VALUE, DEFAULT_BATCH,
+				DEFAULT_QUEUE, DEFAULT_WAITING_BYTES);
 	}
 
 }
--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/target/TargetAttempt.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/target/TargetAttempt.java
@@ -74,7 +74,9 @@
 				HttpMethod.valueOf(this.request.method()), this.request.path(), body,
 				DefaultHttpHeadersFactory.headersFactory().newHeaders(), EmptyHttpHeaders.INSTANCE);
 		http.headers().set(this.request.headers());
-		http.headers().set(HttpHeaderNames.HOST, this.request.address().toString());
+		if (!http.headers().contains(HttpHeaderNames.HOST)) {
+			http.headers().set(HttpHeaderNames.HOST, this.request.address().toString());
+		}
 		if (body.isReadable() || !"GET".equals(this.request.method())) {
 			http.headers().setInt(HttpHeaderNames.CONTENT_LENGTH, body.readableBytes());
 		}
--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/target/TargetClient.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/target/TargetClient.java
@@ -5,6 +5,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.TimeUnit;
 
 import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.Channel;
@@ -16,6 +17,7 @@
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpDecoderConfig;
+import io.netty.util.AttributeKey;
 import org.vanillatrestle.daemon.internal.pipeline.AttemptHandle;
 import org.vanillatrestle.daemon.internal.pipeline.AttemptListener;
 import org.vanillatrestle.internal.target.TargetAddress;
@@ -35,6 +37,15 @@
 
 	private static final int MAX_CHUNK_BYTES = 64 * 1024;
 
+	/**
+	 * The part of a target's idle timeout after which a connection is not used any more.
+	 */
+	private static final double USED_IDLE_PART = 0.6;
+
+	private static final AttributeKey<Long> USABLE_UNTIL_NANOS = AttributeKey.valueOf("usableUntilNanos");
+
+	private final boolean acceptsEndByClose;
+
 	private final Bootstrap bootstrap;
 
 	private final Map<TargetAddress, Deque<Channel>> idle = new HashMap<>();
@@ -46,10 +57,22 @@
 	 * @param eventLoop the VM's event loop
 	 */
 	public TargetClient(EventLoop eventLoop) {
+		this(eventLoop, CONNECT_TIMEOUT_MILLIS, false);
+	}
+
+	/**
+	 * Creates a client.
+	 * @param eventLoop the VM's event loop
+	 * @param connectTimeoutMillis the longest time to set up a connection
+	 * @param acceptsEndByClose whether an answer without length and chunks is whole when
+	 * its connection is closed without a reset
+	 */
+	public TargetClient(EventLoop eventLoop, int connectTimeoutMillis, boolean acceptsEndByClose) {
+		this.acceptsEndByClose = acceptsEndByClose;
 		this.bootstrap = new Bootstrap().group(eventLoop)
 			.channel(NioSocketChannel.class)
 			.option(ChannelOption.TCP_NODELAY, true)
-			.option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
+			.option(ChannelOption.CONNECT_TIMEOUT_MILLIS, connectTimeoutMillis)
 			.handler(new ChannelInitializer<SocketChannel>() {
 				@Override
 				protected void initChannel(SocketChannel channel) {
@@ -80,15 +103,20 @@
 		return attempt;
 	}
 
+	boolean acceptsEndByClose() {
+		return this.acceptsEndByClose;
+	}
+
 	private Channel takeIdle(TargetAddress address) {
 		Deque<Channel> channels = this.idle.get(address);
 		if (channels == null) {
 			return null;
 		}
 		for (Channel channel = channels.pollLast(); channel != null; channel = channels.pollLast()) {
-			if (channel.isActive()) {
+			if (channel.isActive() && channel.attr(USABLE_UNTIL_NANOS).get() - System.nanoTime() > 0) {
 				return channel;
 			}
+			channel.close();
 		}
 		return null;
 	}
@@ -97,13 +125,16 @@
 	 * Takes back a connection whose exchange is complete.
 	 * @param address the target's address
 	 * @param channel the connection
+	 * @param idleMillis how long the target keeps an idle connection
 	 */
-	void putIdle(TargetAddress address, Channel channel) {
+	void putIdle(TargetAddress address, Channel channel, long idleMillis) {
 		Deque<Channel> channels = this.idle.computeIfAbsent(address, (key) -> new ArrayDeque<>());
 		if (this.closed || !channel.isActive() || channels.size() >= MAX_IDLE_PER_TARGET) {
 			channel.close();
 			return;
 		}
+		long usableNanos = (long) (USED_IDLE_PART * TimeUnit.MILLISECONDS.toNanos(idleMillis));
+		channel.attr(USABLE_UNTIL_NANOS).set(System.nanoTime() + usableNanos);
 		channel.config().setAutoRead(true);
 		channels.addLast(channel);
 	}
--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/target/TargetConnection.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/target/TargetConnection.java
@@ -1,5 +1,9 @@
 package org.vanillatrestle.daemon.internal.target;
 
+import java.util.concurrent.TimeUnit;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.handler.codec.http.HttpContent;
@@ -20,6 +24,12 @@
  */
 final class TargetConnection extends ChannelInboundHandlerAdapter {
 
+	private static final String KEEP_ALIVE = "Keep-Alive";
+
+	private static final Pattern KEEP_ALIVE_TIMEOUT = Pattern.compile("timeout=(\\d{1,6})");
+
+	private static final long DEFAULT_IDLE_MILLIS = 60_000;
+
 	private final TargetClient client;
 
 	private TargetAttempt attempt;
@@ -30,6 +40,10 @@
 
 	private boolean informational;
 
+	private boolean foreign;
+
+	private long idleMillis = DEFAULT_IDLE_MILLIS;
+
 	TargetConnection(TargetClient client) {
 		this.client = client;
 	}
@@ -64,14 +78,27 @@
 		if (this.informational) {
 			return;
 		}
+		this.foreign = !this.lastRequest.ownAnswer().test(response.headers());
+		if (this.foreign) {
+			return;
+		}
 		this.keepAlive = HttpUtil.isKeepAlive(response);
-		if (!hasKnownEnd(response)) {
+		this.idleMillis = idleMillis(response.headers().get(KEEP_ALIVE));
+		if (!this.client.acceptsEndByClose() && !hasKnownEnd(response)) {
 			this.attempt.fail("the answer has neither a length nor chunks, so its end can't be told");
 			return;
 		}
 		this.attempt.head(response);
 	}
 
+	private static long idleMillis(String keepAliveHeader) {
+		if (keepAliveHeader == null) {
+			return DEFAULT_IDLE_MILLIS;
+		}
+		Matcher timeout = KEEP_ALIVE_TIMEOUT.matcher(keepAliveHeader);
+		return timeout.find() ? TimeUnit.SECONDS.toMillis(Long.parseLong(timeout.group(1))) : DEFAULT_IDLE_MILLIS;
+	}
+
 	private boolean hasKnownEnd(HttpResponse response) {
 		int code = response.status().code();
 		return HttpUtil.isTransferEncodingChunked(response)
@@ -82,9 +109,10 @@
 
 	private void readContent(ChannelHandlerContext context, HttpContent content) {
 		boolean last = content instanceof LastHttpContent;
-		if (this.informational) {
+		if (this.informational || this.foreign) {
 			content.release();
-			this.informational = !last;
+			this.informational &= !last;
+			this.foreign &= !last;
 			return;
 		}
 		if (content.content().isReadable()) {
@@ -106,7 +134,7 @@
 			return;
 		}
 		if (this.keepAlive) {
-			this.client.putIdle(this.lastRequest.address(), context.channel());
+			this.client.putIdle(this.lastRequest.address(), context.channel(), this.idleMillis);
 		}
 		else {
 			context.close();
--- /dev/null
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/protocol/AnswerFacts.java
@@ -0,0 +1,13 @@
+package org.vanillatrestle.daemon.protocol;
+
+/**
+ * What a target's answer says besides its body.
+ * <p>
+ * Immutable and thread safe.
+ *
+ * @param notRun whether the target promises that it has not run the request
+ * @param wrongTarget whether another target than the expected one answered
+ * @param encoded whether the body is not as the target made it
+ */
+public record AnswerFacts(boolean notRun, boolean wrongTarget, boolean encoded) {
+}
--- a/vanillatrestle-daemon/src/test/java/org/vanillatrestle/daemon/internal/replica/BookReplicaTests.java
+++ b/vanillatrestle-daemon/src/test/java/org/vanillatrestle/daemon/internal/replica/BookReplicaTests.java
@@ -89,7 +89,7 @@
 	private ReplicaHost start(ContractBook machine, OpenMode mode) throws IOException {
 		ReplicaHost host = new ReplicaHost("Book", LogStorage.open(new FolderFiles(this.folder), VM, mode),
 				new BookStateMachine(machine), (to, message) -> {
-				}, new ReplicaSettings(LOG, Set.of(VM), 1024, 4096, 1024 * 1024));
+				}, new ReplicaSettings(LOG, Set.of(VM), Integer.MAX_VALUE, 1024, 4096, 1024 * 1024));
 		host.start();
 		return host;
 	}
--- a/vanillatrestle-daemon/src/test/java/org/vanillatrestle/daemon/internal/replica/ReplicaHostTests.java
+++ b/vanillatrestle-daemon/src/test/java/org/vanillatrestle/daemon/internal/replica/ReplicaHostTests.java
@@ -186,7 +186,7 @@
 			}
 		};
 		ReplicaHost host = new ReplicaHost("Test", LogStorage.open(files, vm, mode), machine, transport,
-				new ReplicaSettings(log, wanted, 1024, 4096, 1 << 20));
+				new ReplicaSettings(log, wanted, Integer.MAX_VALUE, 1024, 4096, 1 << 20));
 		this.machines.put(vm, machine);
 		this.hosts.put(vm, host);
 		host.start();
--- a/vanillatrestle-wire/src/main/java/org/vanillatrestle/wire/PeerChannel.java
+++ b/vanillatrestle-wire/src/main/java/org/vanillatrestle/wire/PeerChannel.java
@@ -47,7 +47,17 @@
 	/**
 	 * Questions of operators about other VMs.
 	 */
-	STATUS(Channel.STATUS);
+	STATUS(Channel.STATUS),
+
+	/**
+	 * Beats of VMs, reports of targets and declared state.
+	 */
+	FLEET(Channel.FLEET),
+
+	/**
+	 * Changes and reads of the declared state, for the leader.
+	 */
+	DECLARATION(Channel.DECLARATION);
 
 	private final Channel code;
 
