--- a/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/declaration/Declaration.java
+++ b/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/declaration/Declaration.java
@@ -1,9 +1,12 @@
 package org.vanillatrestle.internal.declaration;
 
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 
+import org.vanillatrestle.RegionId;
 import org.vanillatrestle.ServiceName;
 
 /**
@@ -25,4 +28,25 @@
 		services = Map.copyOf(services);
 	}
 
+	/**
+	 * The regions that all routes of a host allow.
+	 * @param host the host in lower case
+	 * @return the regions, empty if no route of the host is bound to any or none suits all
+	 */
+	public Set<RegionId> homesOf(String host) {
+		Set<RegionId> homes = new HashSet<>();
+		boolean first = true;
+		for (DeclaredRoute route : this.routes) {
+			if (!route.host().equals(host) || route.homes().isEmpty()) {
+				continue;
+			}
+			if (first) {
+				homes.addAll(route.homes());
+				first = false;
+			}
+			homes.retainAll(route.homes());
+		}
+		return homes;
+	}
+
 }
--- /dev/null
+++ b/vanillatrestle-core/src/test/java/org/vanillatrestle/internal/declaration/Declarations.java
@@ -0,0 +1,36 @@
+package org.vanillatrestle.internal.declaration;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+
+import org.vanillatrestle.ServiceName;
+
+/**
+ * Declarations for tests.
+ */
+final class Declarations {
+
+	private Declarations() {
+	}
+
+	static DeclaredRoute split(double first, double second, double third) {
+		return route("split", "/", List.of(new ServiceShare(new ServiceName("first"), first),
+				new ServiceShare(new ServiceName("second"), second), new ServiceShare(new ServiceName("third"), third)));
+	}
+
+	static DeclaredRoute route(String name, String prefix) {
+		return route(name, prefix, List.of(new ServiceShare(new ServiceName("first"), 1)));
+	}
+
+	private static DeclaredRoute route(String name, String prefix, List<ServiceShare> shares) {
+		return new DeclaredRoute(name, "a.example", prefix, RouteKind.IDEMPOTENT, false, 1000, 400, 0, 2, Set.of(),
+				shares);
+	}
+
+	static Declaration of(DeclaredRoute... routes) {
+		return new Declaration(1, List.of(routes), Map.of(), Optional.empty());
+	}
+
+}
--- /dev/null
+++ b/vanillatrestle-core/src/test/java/org/vanillatrestle/internal/fleet/TargetTableTests.java
@@ -0,0 +1,111 @@
+package org.vanillatrestle.internal.fleet;
+
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import java.util.Random;
+
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import org.junit.jupiter.api.Test;
+import org.vanillatrestle.DataCentreId;
+import org.vanillatrestle.ServiceName;
+import org.vanillatrestle.TargetId;
+import org.vanillatrestle.internal.target.TargetAddress;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class TargetTableTests {
+
+	private final TargetTable table = new TargetTable();
+
+	@Test
+	void shouldTellOnlyOfChanges() {
+		assertThat(this.table.merge(report("a", 1, 1, TargetCondition.READY, 80), 0)).hasSize(1);
+		assertThat(this.table.merge(report("a", 1, 2, TargetCondition.READY, 80), 0)).isEmpty();
+		assertThat(this.table.merge(report("a", 1, 3, TargetCondition.DRAINING, 80), 0)).hasSize(1);
+	}
+
+	@Test
+	void shouldIgnoreALateReport() {
+		this.table.merge(report("a", 1, 5, TargetCondition.DRAINING, 80), 0);
+		assertThat(this.table.merge(report("a", 1, 4, TargetCondition.READY, 80), 0)).isEmpty();
+		assertThat(condition("a")).isEqualTo(TargetCondition.DRAINING);
+	}
+
+	@Test
+	void shouldNotBringBackAnIncarnationThatIsGone() {
+		this.table.merge(report("a", 1, 5, TargetCondition.READY, 80), 0);
+		this.table.leave(new TargetId("a"), 0);
+		assertThat(this.table.merge(report("a", 1, 6, TargetCondition.READY, 80), 0)).isEmpty();
+		assertThat(condition("a")).isEqualTo(TargetCondition.GONE);
+	}
+
+	@Test
+	void shouldTakeANewIncarnationUnderTheSameName() {
+		this.table.merge(report("a", 1, 500, TargetCondition.READY, 80), 0);
+		this.table.leave(new TargetId("a"), 0);
+		assertThat(this.table.merge(report("a", 2, 1, TargetCondition.READY, 80), 0)).hasSize(1);
+		assertThat(condition("a")).isEqualTo(TargetCondition.READY);
+	}
+
+	@Test
+	void shouldGiveAnAddressToTheTargetThatStartedLast() {
+		this.table.merge(report("old", 1, 9, TargetCondition.READY, 80), 0);
+		List<TargetReport> changes = this.table.merge(report("new", 2, 1, TargetCondition.READY, 80), 0);
+		assertThat(changes).extracting(TargetReport::condition)
+			.containsExactly(TargetCondition.GONE, TargetCondition.READY);
+		assertThat(condition("old")).isEqualTo(TargetCondition.GONE);
+	}
+
+	@Test
+	void shouldNotGiveAnAddressBackToALateReport() {
+		this.table.merge(report("new", 2, 1, TargetCondition.READY, 80), 0);
+		this.table.merge(report("old", 1, 9, TargetCondition.READY, 80), 0);
+		assertThat(condition("old")).isEqualTo(TargetCondition.GONE);
+		assertThat(condition("new")).isEqualTo(TargetCondition.READY);
+	}
+
+	@Test
+	void shouldForgetWhatIsGoneOnlyAfterMinutes() {
+		this.table.merge(report("a", 1, 5, TargetCondition.GONE, 80), 0);
+		assertThat(this.table.all(60_000_000_000L)).hasSize(1);
+		assertThat(this.table.all(600_000_000_000L)).isEmpty();
+	}
+
+	@Test
+	void shouldCountDownTheTimeToStayCold() {
+		this.table.merge(report("a", 1, 1, TargetCondition.READY, 80).withColdLeft(3_000), 0);
+		assertThat(this.table.all(1_000_000_000L)).extracting(TargetReport::coldLeftMillis).containsExactly(2_000L);
+		assertThat(this.table.merge(report("a", 1, 2, TargetCondition.READY, 80), 4_000_000_000L)).isEmpty();
+	}
+
+	@Property
+	void shouldAgreeWhateverTheOrderOfReports(@ForAll long seed) {
+		Random random = new Random(seed);
+		List<TargetReport> reports = new ArrayList<>();
+		for (int born = 1; born <= 4; born++) {
+			for (int sequence = 1; sequence <= 4; sequence++) {
+				TargetCondition condition = TargetCondition.values()[(sequence == 4) ? random.nextInt(3) : 0];
+				reports.add(report("t" + (born % 2), born, sequence, condition, 80 + (born % 2)));
+			}
+		}
+		List<TargetReport> shuffled = new ArrayList<>(reports);
+		Collections.shuffle(shuffled, random);
+		TargetTable inOrder = new TargetTable();
+		TargetTable other = new TargetTable();
+		reports.forEach((report) -> inOrder.merge(report, 0));
+		shuffled.forEach((report) -> other.merge(report, 0));
+		assertThat(other.all(0)).containsExactlyInAnyOrderElementsOf(inOrder.all(0));
+	}
+
+	private TargetCondition condition(String name) {
+		return this.table.find(new TargetId(name)).orElseThrow().condition();
+	}
+
+	private static TargetReport report(String name, long born, long sequence, TargetCondition condition, int port) {
+		return new TargetReport(new TargetId(name), born, sequence, new ServiceName("model"),
+				new TargetAddress("127.0.0.1", port), new DataCentreId("koshi-a"), 64, condition, 0);
+	}
+
+}
--- /dev/null
+++ b/vanillatrestle-core/src/test/java/org/vanillatrestle/internal/gateway/GatewayTargetsTests.java
@@ -0,0 +1,184 @@
+package org.vanillatrestle.internal.gateway;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+
+import org.apache.commons.rng.simple.RandomSource;
+import org.junit.jupiter.api.Test;
+import org.vanillatrestle.DataCentreId;
+import org.vanillatrestle.ServiceName;
+import org.vanillatrestle.TargetId;
+import org.vanillatrestle.VmId;
+import org.vanillatrestle.internal.declaration.DeclaredService;
+import org.vanillatrestle.internal.declaration.ModelEngine;
+import org.vanillatrestle.internal.fleet.FlightLoad;
+import org.vanillatrestle.internal.fleet.TargetCondition;
+import org.vanillatrestle.internal.fleet.TargetReport;
+import org.vanillatrestle.internal.target.TargetAddress;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class GatewayTargetsTests {
+
+	private static final DataCentreId ZONE = new DataCentreId("koshi-a");
+
+	private static final DeclaredService MODEL = new DeclaredService(new ServiceName("model"), "/health", 100, 3_000,
+			2.1, Optional.of(new ModelEngine(4, 100_000)));
+
+	private static final DeclaredService PLAIN = new DeclaredService(new ServiceName("plain"), "/health", 100, 0, 0,
+			Optional.empty());
+
+	private final GatewayTargets targets = new GatewayTargets(new VmId("edge-1"), new ColdShare(1.5, 3),
+			RandomSource.SPLIT_MIX_64.create(7));
+
+	@Test
+	void shouldSendNothingToTargetsThatLeaveOrAreEvacuated() {
+		add("a", MODEL, TargetCondition.DRAINING, 0);
+		add("b", MODEL, TargetCondition.GONE, 0);
+		assertThat(choose(MODEL, 100)).isEmpty();
+		add("c", MODEL, TargetCondition.READY, 0);
+		assertThat(choose(MODEL, 100)).isPresent();
+		this.targets.setEvacuated(Set.of(ZONE), Map.of(), 0);
+		assertThat(choose(MODEL, 100)).isEmpty();
+	}
+
+	@Test
+	void shouldSendNothingToATargetOfAnotherService() {
+		add("a", PLAIN, TargetCondition.READY, 0);
+		assertThat(choose(MODEL, 100)).isEmpty();
+	}
+
+	@Test
+	void shouldPreferTheTargetThatHasReadThePrompt() {
+		add("a", MODEL, TargetCondition.READY, 0);
+		add("b", MODEL, TargetCondition.READY, 0);
+		RequestShape first = shape(MODEL, 9_000, "shared", "own-1");
+		Choice choice = this.targets.choose(first, Set.of(), 0).orElseThrow();
+		this.targets.begin(choice, first, 0).answered(1);
+		for (int i = 0; i < 20; i++) {
+			Choice next = this.targets.choose(shape(MODEL, 9_000, "shared", "own-" + i), Set.of(), 1).orElseThrow();
+			assertThat(next.target().id()).isEqualTo(choice.target().id());
+		}
+	}
+
+	@Test
+	void shouldForgetThePrefixesOfARestartedTarget() {
+		add("a", MODEL, TargetCondition.READY, 0);
+		RequestShape shape = shape(MODEL, 9_000, "shared", "own");
+		this.targets.begin(choose(shape).orElseThrow(), shape, 0).answered(1);
+		assertThat(choose(shape).orElseThrow().unreadTokens()).isZero();
+		this.targets.update(report("a", MODEL, TargetCondition.READY, 0, 2), 0);
+		assertThat(choose(shape).orElseThrow().unreadTokens()).isEqualTo(9_000);
+	}
+
+	@Test
+	void shouldCountWhatOtherVmsHaveInFlight() {
+		add("a", MODEL, TargetCondition.READY, 0);
+		this.targets.setOtherLoads(List.of(new FlightLoad(new TargetId("a"), 4, 0, 0)));
+		assertThat(choose(MODEL, 100)).isEmpty();
+		this.targets.setOtherLoads(List.of());
+		assertThat(choose(MODEL, 100)).isPresent();
+	}
+
+	@Test
+	void shouldNotOverfillTheMemoryOfAnEngine() {
+		add("a", MODEL, TargetCondition.READY, 0);
+		this.targets.setOtherLoads(List.of(new FlightLoad(new TargetId("a"), 1, 0, 85_000)));
+		assertThat(choose(MODEL, 20_000)).isEmpty();
+		assertThat(choose(MODEL, 1_000)).isPresent();
+	}
+
+	@Test
+	void shouldBoundRequestsToAColdTarget() {
+		add("a", MODEL, TargetCondition.READY, 3_000);
+		int sent = 0;
+		RequestShape shape = shape(MODEL, 10, "p");
+		for (Optional<Choice> choice = choose(shape); choice.isPresent(); choice = choose(shape)) {
+			this.targets.begin(choice.get(), shape, 0).answered(1);
+			sent++;
+		}
+		assertThat(sent).isBetween(1, 6);
+	}
+
+	@Test
+	void shouldTreatTargetsOfADataCentreTakenBackAsCold() {
+		add("a", MODEL, TargetCondition.READY, 0);
+		this.targets.setEvacuated(Set.of(ZONE), Map.of(), 0);
+		this.targets.setEvacuated(Set.of(), Map.of(MODEL.name(), 3_000L), 0);
+		int sent = 0;
+		RequestShape shape = shape(MODEL, 10, "p");
+		for (Optional<Choice> choice = choose(shape); choice.isPresent() && sent < 50; choice = choose(shape)) {
+			this.targets.begin(choice.get(), shape, 0).answered(1);
+			sent++;
+		}
+		assertThat(sent).isLessThanOrEqualTo(6);
+	}
+
+	@Test
+	void shouldEjectATargetThatCannotBeReachedAndTryItAgainLater() {
+		add("a", PLAIN, TargetCondition.READY, 0);
+		RequestShape shape = shape(PLAIN, 0);
+		this.targets.begin(choose(shape).orElseThrow(), shape, 0).failed(true, 0);
+		assertThat(choose(shape)).isEmpty();
+		long later = TimeUnit.SECONDS.toNanos(2);
+		Choice trial = this.targets.choose(shape, Set.of(), later).orElseThrow();
+		Flight flight = this.targets.begin(trial, shape, later);
+		assertThat(this.targets.choose(shape, Set.of(), later)).as("one request at a time").isEmpty();
+		flight.answered(later);
+		assertThat(this.targets.choose(shape, Set.of(), later)).isPresent();
+	}
+
+	@Test
+	void shouldNotEjectForErrorAnswersAlone() {
+		add("a", PLAIN, TargetCondition.READY, 0);
+		RequestShape shape = shape(PLAIN, 0);
+		for (int i = 0; i < 100; i++) {
+			this.targets.begin(choose(shape).orElseThrow(), shape, i).answeredWithError(i);
+		}
+		assertThat(choose(shape)).isPresent();
+	}
+
+	@Test
+	void shouldEndTheLoadOfAFlightOnce() {
+		add("a", MODEL, TargetCondition.READY, 0);
+		RequestShape shape = shape(MODEL, 500, "p");
+		Flight flight = this.targets.begin(choose(shape).orElseThrow(), shape, 0);
+		Flight other = this.targets.begin(choose(shape).orElseThrow(), shape, 0);
+		flight.answering(1);
+		flight.answered(2);
+		flight.end();
+		flight.failed(false, 3);
+		assertThat(other.target().own().requests()).isEqualTo(1);
+	}
+
+	private Optional<Choice> choose(DeclaredService service, int tokens) {
+		return choose(shape(service, tokens, "part"));
+	}
+
+	private Optional<Choice> choose(RequestShape shape) {
+		return this.targets.choose(shape, Set.of(), 0);
+	}
+
+	private static RequestShape shape(DeclaredService service, int tokens, String... parts) {
+		List<PromptPart> prompt = new ArrayList<>();
+		for (String part : parts) {
+			prompt.add(new PromptPart(part, tokens / parts.length));
+		}
+		return new RequestShape(service, tokens, 0, prompt);
+	}
+
+	private void add(String name, DeclaredService service, TargetCondition condition, long coldMillis) {
+		this.targets.update(report(name, service, condition, coldMillis, 1), 0);
+	}
+
+	private static TargetReport report(String name, DeclaredService service, TargetCondition condition, long coldMillis,
+			long born) {
+		return new TargetReport(new TargetId(name), born, 1, service.name(), new TargetAddress("127.0.0.1", 80), ZONE,
+				4, condition, coldMillis);
+	}
+
+}
--- a/vanillatrestle-core/src/test/java/org/vanillatrestle/internal/log/SimulatedReplica.java
+++ b/vanillatrestle-core/src/test/java/org/vanillatrestle/internal/log/SimulatedReplica.java
@@ -42,6 +42,8 @@
 
 	private boolean failsSync;
 
+	private int voterTarget = Integer.MAX_VALUE;
+
 	SimulatedReplica(VmId vm, Membership membership, String storage, Set<VmId> wanted, Oracle oracle,
 			Consumer<LogEnvelope> network, Runnable boundary) {
 		this.id = new ReplicaId(vm, new StorageId(storage));
@@ -52,6 +54,13 @@
 		this.boundary = boundary;
 	}
 
+	void setVoterTarget(int count) {
+		this.voterTarget = count;
+		if (this.log != null) {
+			this.log.setVoterTarget(count);
+		}
+	}
+
 	ReplicaId id() {
 		return this.id;
 	}
@@ -85,6 +94,7 @@
 		this.log = new ReplicatedLog(this.id, settings, this.disk.recover(),
 				RandomSource.SPLIT_MIX_64.create((long) this.id.hashCode()), nowNanos);
 		this.log.setWantedVoters(this.wanted);
+		this.log.setVoterTarget(this.voterTarget);
 	}
 
 	/**
--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/ControlPart.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/ControlPart.java
@@ -13,6 +13,8 @@
 import java.util.function.Predicate;
 
 import io.netty.channel.EventLoop;
+import org.vanillatrestle.InvalidDocumentException;
+import org.vanillatrestle.RegionId;
 import org.vanillatrestle.TargetId;
 import org.vanillatrestle.daemon.GatewaySettings;
 import org.vanillatrestle.daemon.internal.declared.DeclarationCalls;
@@ -20,10 +22,13 @@
 import org.vanillatrestle.daemon.internal.fleet.ControlFleet;
 import org.vanillatrestle.daemon.internal.fleet.FleetLinks;
 import org.vanillatrestle.daemon.internal.lifecycle.Closer;
+import org.vanillatrestle.daemon.internal.logging.EventKind;
+import org.vanillatrestle.daemon.internal.logging.EventLog;
 import org.vanillatrestle.daemon.internal.replica.ReplicaSettings;
 import org.vanillatrestle.daemon.internal.settings.HostAndPort;
 import org.vanillatrestle.daemon.protocol.ControlCall;
 import org.vanillatrestle.daemon.protocol.GatewayProtocol;
+import org.vanillatrestle.internal.declaration.Declaration;
 import org.vanillatrestle.internal.declaration.DeclarationCommand;
 import org.vanillatrestle.internal.declaration.DeclaredState;
 import org.vanillatrestle.internal.fleet.EntryReport;
@@ -58,6 +63,8 @@
 
 	private final ControlFleet fleet;
 
+	private Optional<Declaration> declaration = Optional.empty();
+
 	private final ScheduledExecutorService supervisor = Executors.newSingleThreadScheduledExecutor((task) -> {
 		Thread thread = new Thread(task, "replica-supervisor");
 		thread.setDaemon(true);
@@ -91,6 +98,15 @@
 
 	private void declared(DeclaredState state) {
 		this.fleet.declared(state);
+		if (!state.isDeclared()) {
+			return;
+		}
+		try {
+			this.declaration = Optional.of(this.protocol.readDeclaration(state.document()));
+		}
+		catch (InvalidDocumentException ex) {
+			EventLog.write(EventKind.DECLARED, "version", state.version(), "failure", ex.getMessage());
+		}
 	}
 
 	// the seeds are the same at all VMs when a deployment is founded; the first in order
@@ -123,6 +139,10 @@
 		if (chosen.isEmpty()) {
 			chosen = select(ready, (entry) -> entry.region().equals(call.region()));
 		}
+		if (chosen.isEmpty()) {
+			Set<RegionId> homes = this.declaration.map((known) -> known.homesOf(call.host())).orElse(Set.of());
+			chosen = select(ready, (entry) -> homes.contains(entry.region()));
+		}
 		if (chosen.isEmpty()) {
 			chosen = select(ready, (entry) -> true);
 		}
--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/logging/EventLog.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/logging/EventLog.java
@@ -29,6 +29,10 @@
 		if (!logger.isInfoEnabled()) {
 			return;
 		}
+		logger.info(line(kind, fields));
+	}
+
+	static String line(EventKind kind, Object... fields) {
 		StringBuilder line = new StringBuilder(192);
 		line.append("{\"time\":").append(System.currentTimeMillis());
 		line.append(",\"event\":\"").append(kind.label()).append('"');
@@ -38,7 +42,7 @@
 				value(line, fields[i + 1]);
 			}
 		}
-		logger.info(line.append('}'));
+		return line.append('}').toString();
 	}
 
 	private static void value(StringBuilder line, Object value) {
--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/protocol/ControlCall.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/protocol/ControlCall.java
@@ -56,10 +56,11 @@
 	/**
 	 * A caller asks where to connect.
 	 *
+	 * @param host the host that the caller wants, empty if not told
 	 * @param region the caller's region, {@code null} if not told
 	 * @param dataCentre the caller's data centre, {@code null} if not told
 	 */
-	record Resolve(RegionId region, DataCentreId dataCentre) implements ControlCall {
+	record Resolve(String host, RegionId region, DataCentreId dataCentre) implements ControlCall {
 	}
 
 	/**
