Let a request that another region sent on run once there

Ruled out: the count of the sending VM, which stood at two. Now only the sending VM repeats what has reached a target.

--- a/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/declaration/Declaration.java
+++ b/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/declaration/Declaration.java
@@ -31,7 +31,8 @@
 	/**
 	 * The regions that all routes of a host allow.
 	 * @param host the host in lower case
-	 * @return the regions, empty if no route of the host is bound to any or none suits all
+	 * @return the regions, empty if no route of the host is bound to any or none suits
+	 * all
 	 */
 	public Set<RegionId> homesOf(String host) {
 		Set<RegionId> homes = new HashSet<>();
--- a/vanillatrestle-core/src/test/java/org/vanillatrestle/internal/declaration/Declarations.java
+++ b/vanillatrestle-core/src/test/java/org/vanillatrestle/internal/declaration/Declarations.java
@@ -16,8 +16,10 @@
 	}
 
 	static DeclaredRoute split(double first, double second, double third) {
-		return route("split", "/", List.of(new ServiceShare(new ServiceName("first"), first),
-				new ServiceShare(new ServiceName("second"), second), new ServiceShare(new ServiceName("third"), third)));
+		return route("split", "/",
+				List.of(new ServiceShare(new ServiceName("first"), first),
+						new ServiceShare(new ServiceName("second"), second),
+						new ServiceShare(new ServiceName("third"), third)));
 	}
 
 	static DeclaredRoute route(String name, String prefix) {
--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/RoutedAttempt.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/RoutedAttempt.java
@@ -152,7 +152,8 @@
 		this.done = true;
 		long now = System.nanoTime();
 		if (this.remoteVerdict != null) {
-			this.request.attemptFailed(this.remoteVerdict, false, "refused by the VM with " + this.status);
+			boolean arrived = this.remoteVerdict != Verdict.NOT_RUN;
+			this.request.attemptFailed(this.remoteVerdict, arrived, "refused by the VM with " + this.status);
 			return;
 		}
 		if (this.facts.notRun()) {
--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/RoutedRequest.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/RoutedRequest.java
@@ -23,7 +23,8 @@
  * <p>
  * Invariants: it ends once; it is sent again only where it has not run for certain or the
  * route allows a repeat; a refusal that promises "not run" is given only if no attempt
- * may have run. Used on the VM's event loop.
+ * may have run; what another VM sent on reaches one target here, as the VM that sent it
+ * counts its attempts. Used on the VM's event loop.
  */
 final class RoutedRequest implements ConnectionListener {
 
@@ -205,6 +206,9 @@
 
 	private boolean mayRepeat(Verdict attemptVerdict, boolean arrived) {
 		boolean allowed = attemptVerdict == Verdict.NOT_RUN || this.route.isRepeatable();
+		if (this.forwarded && arrived) {
+			return false;
+		}
 		if (!allowed || this.sends >= MAX_SENDS || this.runs >= this.route.maxAttempts() || leftMillis() <= 0) {
 			return false;
 		}
@@ -320,7 +324,8 @@
 	 * @return whether there is an attempt left
 	 */
 	boolean hasAttemptsLeft() {
-		return this.route.isRepeatable() && this.runs + 1 < this.route.maxAttempts() && this.sends < MAX_SENDS;
+		return !this.forwarded && this.route.isRepeatable() && this.runs + 1 < this.route.maxAttempts()
+				&& this.sends < MAX_SENDS;
 	}
 
 	String id() {
--- a/vanillatrestle-daemon/src/test/java/org/vanillatrestle/daemon/internal/logging/BoundedAppenderTests.java
+++ b/vanillatrestle-daemon/src/test/java/org/vanillatrestle/daemon/internal/logging/BoundedAppenderTests.java
@@ -52,8 +52,8 @@
 
 	@Test
 	void shouldWriteValidJsonWhateverTheValues() throws Exception {
-		JsonNode line = new JsonMapper().readTree(EventLog.line(EventKind.REFUSED, "request", "a\"b\n", "millis", 3,
-				"done", true, "missing", null));
+		JsonNode line = new JsonMapper().readTree(
+				EventLog.line(EventKind.REFUSED, "request", "a\"b\n", "millis", 3, "done", true, "missing", null));
 		assertThat(line.path("event").asText()).isEqualTo("refused");
 		assertThat(line.path("request").asText()).isEqualTo("a\"b\n");
 		assertThat(line.path("millis").asInt()).isEqualTo(3);
