--- a/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/gateway/GatewayTarget.java
+++ b/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/gateway/GatewayTarget.java
@@ -13,6 +13,8 @@
  */
 public final class GatewayTarget {
 
+	private static final long NEW_NANOS = TimeUnit.SECONDS.toNanos(4);
+
 	private final PrefixCache prefixes = new PrefixCache();
 
 	private final ColdGate coldGate = new ColdGate();
@@ -23,6 +25,8 @@
 
 	private long coldUntilNanos;
 
+	private long startedNanos;
+
 	private FlightLoad own;
 
 	private FlightLoad others;
@@ -40,6 +44,9 @@
 	 */
 	void update(TargetReport newer, long nowNanos) {
 		boolean restarted = this.report != null && this.report.bornMillis() != newer.bornMillis();
+		if (restarted || this.report == null) {
+			this.startedNanos = nowNanos;
+		}
 		if (restarted) {
 			this.prefixes.clear();
 			this.health = new TargetHealth();
@@ -65,6 +72,11 @@
 		return this.report.target();
 	}
 
+	// such a target has hardly read any prompt
+	boolean isNew(long nowNanos) {
+		return nowNanos - this.startedNanos < NEW_NANOS;
+	}
+
 	boolean isCold(long nowNanos) {
 		return this.coldUntilNanos - nowNanos > 0;
 	}
--- a/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/gateway/GatewayTargets.java
+++ b/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/gateway/GatewayTargets.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -55,6 +56,12 @@
 	 */
 	private static final double MILLIS_PER_RUNNING = 1.5;
 
+	/**
+	 * How much the reading of a prompt counts against a target besides the wait: it holds
+	 * up other requests.
+	 */
+	private static final double WORK_WEIGHT = 1;
+
 	private final VmId self;
 
 	private final ColdShare coldShare;
@@ -157,17 +164,22 @@
 	public Optional<Choice> choose(RequestShape shape, Set<TargetId> tried, long nowNanos) {
 		List<Choice> best = new ArrayList<>();
 		double bestCost = Double.MAX_VALUE;
+		Optional<GatewayTarget> preferred = preferred(shape);
 		for (GatewayTarget target : this.targets.values()) {
 			if (!isUsable(target, shape.service(), nowNanos) || tried.contains(target.id())) {
 				continue;
 			}
-			long unread = shape.promptTokens()
-					- Math.min(shape.promptTokens(), target.prefixes().cachedTokens(shape.parts()));
+			int cached = target.prefixes().cachedTokens(shape.parts());
+			if (preferred.isPresent() && preferred.get() == target && !target.isNew(nowNanos)) {
+				cached = Math.max(cached, tokens(shape.sharedParts()));
+			}
+			long unread = Math.max(0, shape.promptTokens() - cached);
 			double wait = waitMillis(target, shape.service(), unread);
 			if (wait < 0 || !hasMemory(target, shape, unread)) {
 				continue;
 			}
-			double cost = wait / Math.max(0.1, 1 - target.health().failedShare());
+			double work = speed(shape.service().name()).readMillis(unread);
+			double cost = (wait + WORK_WEIGHT * work) / Math.max(0.1, 1 - target.health().failedShare());
 			if (cost < bestCost - TIE_MILLIS) {
 				best.clear();
 			}
@@ -179,6 +191,32 @@
 		return best.isEmpty() ? Optional.empty() : Optional.of(best.get(this.random.nextInt(best.size())));
 	}
 
+	// requests with the same shared parts go to the same target from all VMs, so that the
+	// parts are read once: highest random weight (Thaler and Ravishankar, 1998)
+	private Optional<GatewayTarget> preferred(RequestShape shape) {
+		List<PromptPart> shared = shape.sharedParts();
+		if (shared.isEmpty() || shape.service().engine().isEmpty()) {
+			return Optional.empty();
+		}
+		String key = shared.get(shared.size() - 1).id();
+		return this.targets.values()
+			.stream()
+			.filter((target) -> target.report().service().equals(shape.service().name())
+					&& target.report().condition() == TargetCondition.READY
+					&& !this.evacuated.contains(target.report().dataCentre()))
+			.max(Comparator.comparingLong((GatewayTarget target) -> weight(key, target.id())));
+	}
+
+	private static long weight(String key, TargetId target) {
+		long mixed = key.hashCode() * 0x9E3779B97F4A7C15L + target.value().hashCode() * 0xC2B2AE3D27D4EB4FL;
+		mixed = (mixed ^ (mixed >>> 29)) * 0xBF58476D1CE4E5B9L;
+		return mixed ^ (mixed >>> 32);
+	}
+
+	private static int tokens(List<PromptPart> parts) {
+		return parts.stream().mapToInt(PromptPart::tokens).sum();
+	}
+
 	private boolean isUsable(GatewayTarget target, DeclaredService service, long nowNanos) {
 		TargetReport report = target.report();
 		if (!report.service().equals(service.name()) || report.condition() != TargetCondition.READY
--- a/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/gateway/RequestShape.java
+++ b/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/gateway/RequestShape.java
@@ -20,4 +20,13 @@
 		parts = List.copyOf(parts);
 	}
 
+	/**
+	 * The parts that other requests may share: all but the last, which belongs to the
+	 * request or its session.
+	 * @return the shared parts in order
+	 */
+	List<PromptPart> sharedParts() {
+		return this.parts.isEmpty() ? this.parts : this.parts.subList(0, this.parts.size() - 1);
+	}
+
 }
--- a/vanillatrestle-core/src/test/java/org/vanillatrestle/internal/gateway/GatewayTargetsTests.java
+++ b/vanillatrestle-core/src/test/java/org/vanillatrestle/internal/gateway/GatewayTargetsTests.java
@@ -1,6 +1,7 @@
 package org.vanillatrestle.internal.gateway;
 
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -26,6 +27,8 @@
 
 	private static final DataCentreId ZONE = new DataCentreId("koshi-a");
 
+	private static final long LATER = TimeUnit.SECONDS.toNanos(60);
+
 	private static final DeclaredService MODEL = new DeclaredService(new ServiceName("model"), "/health", 100, 3_000,
 			2.1, Optional.of(new ModelEngine(4, 100_000)));
 
@@ -65,6 +68,24 @@
 		}
 	}
 
+	@Test
+	void shouldSendSharedPartsToTheSameTargetFromAllVms() {
+		GatewayTargets elsewhere = new GatewayTargets(new VmId("edge-2"), new ColdShare(1.5, 3),
+				RandomSource.SPLIT_MIX_64.create(8));
+		for (String name : List.of("a", "b", "c", "d")) {
+			add(name, MODEL, TargetCondition.READY, 0);
+			elsewhere.update(report(name, MODEL, TargetCondition.READY, 0, 1), 0);
+		}
+		Set<TargetId> used = new HashSet<>();
+		for (int i = 0; i < 40; i++) {
+			RequestShape shape = shape(MODEL, 9_000, "shared-" + i, "own");
+			TargetId here = this.targets.choose(shape, Set.of(), LATER).orElseThrow().target().id();
+			assertThat(elsewhere.choose(shape, Set.of(), LATER).orElseThrow().target().id()).isEqualTo(here);
+			used.add(here);
+		}
+		assertThat(used).hasSize(4);
+	}
+
 	@Test
 	void shouldForgetThePrefixesOfARestartedTarget() {
 		add("a", MODEL, TargetCondition.READY, 0);
--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/ControlPart.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/ControlPart.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.Predicate;
 
 import io.netty.channel.EventLoop;
@@ -33,6 +34,7 @@
 import org.vanillatrestle.internal.declaration.DeclaredState;
 import org.vanillatrestle.internal.fleet.EntryReport;
 import org.vanillatrestle.internal.fleet.TargetReport;
+import org.vanillatrestle.internal.log.LogSettings;
 
 /**
  * What a control VM runs: a replica of the declared state, and its part in the fleet.
@@ -53,6 +55,16 @@
 
 	private static final long SUPERVISE_MILLIS = 500;
 
+	private static final long GATHER_MILLIS = 5;
+
+	/**
+	 * Several times the way between regions and back, and short enough that a group whose
+	 * VMs were all restarted has a leader within a second or two.
+	 */
+	private static final long ELECTION_TIMEOUT_MILLIS = 800;
+
+	private static final long HEARTBEAT_MILLIS = 150;
+
 	private final GatewaySettings settings;
 
 	private final GatewayProtocol protocol;
@@ -63,6 +75,8 @@
 
 	private final ControlFleet fleet;
 
+	private final AtomicReference<DeclaredState> untold = new AtomicReference<>();
+
 	private Optional<Declaration> declaration = Optional.empty();
 
 	private final ScheduledExecutorService supervisor = Executors.newSingleThreadScheduledExecutor((task) -> {
@@ -86,16 +100,30 @@
 		this.protocol = protocol;
 		int lostVms = settings.bounds().lostVms();
 		ReplicaSettings defaults = ReplicaSettings.of(Set.of(settings.vm()));
-		ReplicaSettings replicaSettings = new ReplicaSettings(defaults.log(), defaults.wantedVoters(), 2 * lostVms + 1,
-				defaults.batchLimit(), defaults.queueLimit(), defaults.waitingBytesLimit());
-		this.replica = closer.add(new DeclaredReplica(settings.vm(),
-				settings.dataFolder().orElseThrow().resolve(DeclaredReplica.FOLDER), isFounder(settings),
-				links::sendLog, replicaSettings, 2 * lostVms, (state) -> loop.execute(() -> declared(state))));
+		ReplicaSettings replicaSettings = new ReplicaSettings(logSettings(defaults.log()), defaults.wantedVoters(),
+				2 * lostVms + 1, defaults.batchLimit(), defaults.queueLimit(), defaults.waitingBytesLimit());
+		this.replica = closer
+			.add(new DeclaredReplica(settings.vm(), settings.dataFolder().orElseThrow().resolve(DeclaredReplica.FOLDER),
+					isFounder(settings), links::sendLog, replicaSettings, 2 * lostVms, (state) -> hand(loop, state)));
 		this.calls = new DeclarationCalls(settings.vm(), this.replica, () -> links);
 		this.fleet = new ControlFleet(links, loop, this.calls);
 		closer.add(this.supervisor::shutdownNow);
 	}
 
+	private static LogSettings logSettings(LogSettings defaults) {
+		return new LogSettings(TimeUnit.MILLISECONDS.toNanos(HEARTBEAT_MILLIS),
+				TimeUnit.MILLISECONDS.toNanos(ELECTION_TIMEOUT_MILLIS), defaults.batchBytes(), defaults.windowBytes(),
+				defaults.chunkBytes(), defaults.compactionBytes(), defaults.compactionEntries(),
+				defaults.trailingBytes());
+	}
+
+	// of the many states of a replay only the last is told
+	private void hand(EventLoop loop, DeclaredState state) {
+		if (this.untold.getAndSet(state) == null) {
+			loop.schedule(() -> declared(this.untold.getAndSet(null)), GATHER_MILLIS, TimeUnit.MILLISECONDS);
+		}
+	}
+
 	private void declared(DeclaredState state) {
 		this.fleet.declared(state);
 		if (!state.isDeclared()) {
--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/RoutedAttempt.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/RoutedAttempt.java
@@ -1,6 +1,7 @@
 package org.vanillatrestle.daemon.internal.gateway;
 
 import java.util.Optional;
+import java.util.concurrent.TimeUnit;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.HttpHeaderNames;
@@ -33,6 +34,18 @@
 
 	private static final int MAX_PRIORITY = 9;
 
+	/**
+	 * How many times the expected time counts as no progress.
+	 */
+	private static final int STALL_FACTOR = 5;
+
+	/**
+	 * Callers leave a stream after a few seconds of silence.
+	 */
+	private static final long STREAM_STALL_MILLIS = 1_200;
+
+	private static final long FIRST_EVENT_STALL_MILLIS = 1_500;
+
 	private final RoutedRequest request;
 
 	private final TargetAddress address;
@@ -43,6 +56,12 @@
 
 	private final String place;
 
+	private final long expectedMillis;
+
+	private long progressNanos;
+
+	private boolean progressed;
+
 	private AttemptHandle handle;
 
 	private AnswerFacts facts;
@@ -54,22 +73,24 @@
 	private boolean done;
 
 	private RoutedAttempt(RoutedRequest request, TargetAddress address, Optional<Flight> flight,
-			Optional<RemoteEntries.RemoteChoice> remote, String place) {
+			Optional<RemoteEntries.RemoteChoice> remote, String place, long expectedMillis) {
 		this.request = request;
 		this.address = address;
 		this.flight = flight;
 		this.remote = remote;
 		this.place = place;
+		this.expectedMillis = expectedMillis;
 	}
 
 	static RoutedAttempt atTarget(RoutedRequest request, Flight flight, Choice choice) {
 		TargetId id = choice.target().id();
 		return new RoutedAttempt(request, choice.target().report().address(), Optional.of(flight), Optional.empty(),
-				id.value());
+				id.value(), choice.waitMillis());
 	}
 
 	static RoutedAttempt atVm(RoutedRequest request, RemoteEntries.RemoteChoice choice) {
-		return new RoutedAttempt(request, choice.address(), Optional.empty(), Optional.of(choice), choice.vm().value());
+		return new RoutedAttempt(request, choice.address(), Optional.empty(), Optional.of(choice), choice.vm().value(),
+				choice.waitMillis());
 	}
 
 	void start() {
@@ -91,6 +112,42 @@
 			.send(new TargetRequest(this.address, this.request.request().method(), uri, headers,
 					this.request.request().body(), false,
 					(answer) -> context.protocol().isAnswerTo(answer, this.request.id())), this);
+		this.progressNanos = System.nanoTime();
+		if (this.request.route().isRepeatable()) {
+			watch(stallMillis());
+		}
+	}
+
+	// after how long without progress another target may be tried
+	private long stallMillis() {
+		long objective = this.request.route().objectiveMillis();
+		if (!this.request.route().isStreaming()) {
+			return Math.max(objective / 2, STALL_FACTOR * this.expectedMillis);
+		}
+		return this.progressed ? STREAM_STALL_MILLIS
+				: Math.max(FIRST_EVENT_STALL_MILLIS, STALL_FACTOR * this.expectedMillis);
+	}
+
+	private void watch(long delayMillis) {
+		this.request.context().loop().schedule(this::checkProgress, Math.max(1, delayMillis), TimeUnit.MILLISECONDS);
+	}
+
+	private void checkProgress() {
+		if (this.done) {
+			return;
+		}
+		long silentMillis = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - this.progressNanos);
+		long limit = stallMillis();
+		if (silentMillis < limit) {
+			watch(limit - silentMillis);
+			return;
+		}
+		if (!this.request.mayMoveOn()) {
+			watch(limit);
+			return;
+		}
+		this.handle.cancel();
+		onFailure(Verdict.MAY_HAVE_RUN, "no progress for " + silentMillis + " ms");
 	}
 
 	String place() {
@@ -124,6 +181,11 @@
 		if (this.remote.isPresent() && verdict != null) {
 			this.remoteVerdict = (verdict.equals(Verdict.NOT_RUN.name())) ? Verdict.NOT_RUN : Verdict.MAY_HAVE_RUN;
 		}
+		if (this.status / 100 == 2 && !this.facts.signed()) {
+			this.handle.cancel();
+			onFailure(Verdict.MAY_HAVE_RUN, "a success without signature");
+			return;
+		}
 		if (this.status / 100 == 2) {
 			this.flight.ifPresent((sent) -> sent.answering(System.nanoTime()));
 		}
@@ -138,6 +200,8 @@
 			data.release();
 			return;
 		}
+		this.progressNanos = System.nanoTime();
+		this.progressed = true;
 		if (this.request.relay().body(data)) {
 			this.request.firstPart();
 		}
--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/RoutedRequest.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/RoutedRequest.java
@@ -328,6 +328,20 @@
 				&& this.sends < MAX_SENDS;
 	}
 
+	/**
+	 * Whether the request may leave a target that makes no progress for another one.
+	 * @return whether an attempt, budget and another target are left
+	 */
+	boolean mayMoveOn() {
+		long now = System.nanoTime();
+		boolean elsewhere = this.context.remotes()
+			.choose(this.route, this.shape.service().name(), this.triedVms)
+			.isPresent()
+				|| (this.route.allows(this.context.region())
+						&& this.context.targets().choose(this.shape, this.triedTargets, now).isPresent());
+		return hasAttemptsLeft() && elsewhere && this.context.budget().left(this.shape.service().name(), now) >= 1;
+	}
+
 	String id() {
 		return this.details.requestId();
 	}
--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/protocol/AnswerFacts.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/protocol/AnswerFacts.java
@@ -7,7 +7,8 @@
  *
  * @param notRun whether the target promises that it has not run the request
  * @param wrongTarget whether another target than the expected one answered
+ * @param signed whether the answer bears the target's signature
  * @param encoded whether the body is not as the target made it
  */
-public record AnswerFacts(boolean notRun, boolean wrongTarget, boolean encoded) {
+public record AnswerFacts(boolean notRun, boolean wrongTarget, boolean signed, boolean encoded) {
 }
