Elect sooner after a restart, and go back to the voter target

The first election of a started replica now begins after a quarter to three quarters of the election timeout; the preliminary round disturbs no leader. The new test fails without the change.

--- a/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/gateway/Choice.java
+++ b/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/gateway/Choice.java
@@ -1,13 +1,20 @@
 package org.vanillatrestle.internal.gateway;
 
+import org.vanillatrestle.TargetId;
+import org.vanillatrestle.internal.fleet.FlightLoad;
+
 /**
- * A target that was chosen for a request.
+ * A target that was chosen for a request, and what was believed when it was.
  * <p>
  * Not thread safe.
  *
  * @param target the target
  * @param waitMillis the estimated time until the answer begins
  * @param unreadTokens the prompt tokens that the target has to read
+ * @param load what all VMs together had in flight at the target
+ * @param loadAgeMillis how old the part of the other VMs was, -1 if none ever told
+ * @param runnerUp the second choice, {@code null} if there was none
  */
-public record Choice(GatewayTarget target, long waitMillis, long unreadTokens) {
+public record Choice(GatewayTarget target, long waitMillis, long unreadTokens, FlightLoad load, long loadAgeMillis,
+		TargetId runnerUp) {
 }
--- a/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/gateway/GatewayTargets.java
+++ b/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/gateway/GatewayTargets.java
@@ -62,6 +62,8 @@
 	 */
 	private static final double WORK_WEIGHT = 1;
 
+	private static final long NANOS_PER_MILLI = 1_000_000;
+
 	private final VmId self;
 
 	private final ColdShare coldShare;
@@ -76,6 +78,8 @@
 
 	private SortedSet<VmId> regionEntries = new TreeSet<>();
 
+	private long othersToldNanos;
+
 	/**
 	 * Creates an empty set of targets.
 	 * @param self this VM
@@ -139,8 +143,10 @@
 	/**
 	 * Sets what the other VMs have in flight.
 	 * @param loads the loads; targets not named have none
+	 * @param nowNanos the monotonic time
 	 */
-	public void setOtherLoads(Collection<FlightLoad> loads) {
+	public void setOtherLoads(Collection<FlightLoad> loads, long nowNanos) {
+		this.othersToldNanos = nowNanos;
 		Map<TargetId, FlightLoad> byTarget = new HashMap<>();
 		loads.forEach((load) -> byTarget.merge(load.target(), load, FlightLoad::plus));
 		this.targets.forEach((id, target) -> target.setOthers(byTarget.getOrDefault(id, new FlightLoad(id, 0, 0, 0))));
@@ -162,8 +168,7 @@
 	 * @return the choice, empty if no target has room
 	 */
 	public Optional<Choice> choose(RequestShape shape, Set<TargetId> tried, long nowNanos) {
-		List<Choice> best = new ArrayList<>();
-		double bestCost = Double.MAX_VALUE;
+		List<Candidate> candidates = new ArrayList<>();
 		Optional<GatewayTarget> preferred = preferred(shape);
 		for (GatewayTarget target : this.targets.values()) {
 			if (!isUsable(target, shape.service(), nowNanos) || tried.contains(target.id())) {
@@ -175,20 +180,28 @@
 			}
 			long unread = Math.max(0, shape.promptTokens() - cached);
 			double wait = waitMillis(target, shape.service(), unread);
-			if (wait < 0 || !hasMemory(target, shape, unread)) {
-				continue;
-			}
-			double work = speed(shape.service().name()).readMillis(unread);
-			double cost = (wait + WORK_WEIGHT * work) / Math.max(0.1, 1 - target.health().failedShare());
-			if (cost < bestCost - TIE_MILLIS) {
-				best.clear();
-			}
-			if (cost < bestCost + TIE_MILLIS) {
-				best.add(new Choice(target, Math.round(wait), unread));
-				bestCost = Math.min(bestCost, cost);
+			if (wait >= 0 && hasMemory(target, shape, unread)) {
+				double work = speed(shape.service().name()).readMillis(unread);
+				double cost = (wait + WORK_WEIGHT * work) / Math.max(0.1, 1 - target.health().failedShare());
+				candidates.add(new Candidate(target, wait, unread, cost));
 			}
 		}
-		return best.isEmpty() ? Optional.empty() : Optional.of(best.get(this.random.nextInt(best.size())));
+		return best(candidates, nowNanos);
+	}
+
+	private Optional<Choice> best(List<Candidate> candidates, long nowNanos) {
+		if (candidates.isEmpty()) {
+			return Optional.empty();
+		}
+		candidates.sort(Comparator.comparingDouble(Candidate::cost));
+		double limit = candidates.get(0).cost() + TIE_MILLIS;
+		int ties = (int) candidates.stream().filter((candidate) -> candidate.cost() < limit).count();
+		int picked = this.random.nextInt(ties);
+		Candidate best = candidates.get(picked);
+		TargetId runnerUp = (candidates.size() > 1) ? candidates.get((picked == 0) ? 1 : 0).target().id() : null;
+		long ageMillis = (this.othersToldNanos != 0) ? (nowNanos - this.othersToldNanos) / NANOS_PER_MILLI : -1;
+		return Optional.of(new Choice(best.target(), Math.round(best.expectedMillis()), best.unread(),
+				best.target().total(), ageMillis, runnerUp));
 	}
 
 	// requests with the same shared parts go to the same target from all VMs, so that the
@@ -287,4 +300,10 @@
 		return choose(typical, Set.of(), nowNanos).map(Choice::waitMillis).orElse(-1L);
 	}
 
+	/**
+	 * A target that a request may go to.
+	 */
+	private record Candidate(GatewayTarget target, double expectedMillis, long unread, double cost) {
+	}
+
 }
--- a/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/log/LogState.java
+++ b/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/log/LogState.java
@@ -63,7 +63,7 @@
 		this.appliedIndex = this.snapshot.lastIndex();
 		this.nowNanos = nowNanos;
 		this.leaderContactNanos = nowNanos;
-		resetElectionDeadline();
+		this.electionDeadlineNanos = nowNanos + firstElectionNanos();
 		if (isOnlyVoter()) {
 			this.electionDeadlineNanos = nowNanos;
 		}
@@ -72,6 +72,13 @@
 		}
 	}
 
+	// sooner than later ones: a started replica knows of no leader, and the preliminary
+	// round disturbs none that there is
+	private long firstElectionNanos() {
+		long quarter = this.settings.electionTimeoutNanos() / 4;
+		return quarter + this.random.nextLong(2 * quarter);
+	}
+
 	private boolean isOnlyVoter() {
 		return membership().isVoter(this.self) && membership().voters().size() == 1;
 	}
--- a/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/log/MembershipChanges.java
+++ b/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/log/MembershipChanges.java
@@ -93,7 +93,7 @@
 			promote(membership, ready.get());
 			return;
 		}
-		if (membership.voters().size() > this.voterTarget && removeSilentVoter(membership)) {
+		if (membership.voters().size() > this.voterTarget && removeExcessVoter(membership)) {
 			return;
 		}
 		if (!this.joinersHeardNanos.isEmpty()) {
@@ -122,8 +122,13 @@
 			.findFirst();
 	}
 
-	private boolean removeSilentVoter(Membership membership) {
-		return silentVoter(membership).map(this::remove).orElse(false);
+	// a voter that came back before it was replaced leaves one voter too many
+	private boolean removeExcessVoter(Membership membership) {
+		Optional<ReplicaId> excess = silentVoter(membership).or(() -> membership.voters()
+			.stream()
+			.filter((voter) -> !voter.equals(this.state.self()))
+			.reduce((earlier, later) -> later));
+		return excess.map(this::remove).orElse(false);
 	}
 
 	private void promote(Membership membership, ReplicaId learner) {
--- a/vanillatrestle-core/src/test/java/org/vanillatrestle/internal/gateway/GatewayTargetsTests.java
+++ b/vanillatrestle-core/src/test/java/org/vanillatrestle/internal/gateway/GatewayTargetsTests.java
@@ -99,16 +99,16 @@
 	@Test
 	void shouldCountWhatOtherVmsHaveInFlight() {
 		add("a", MODEL, TargetCondition.READY, 0);
-		this.targets.setOtherLoads(List.of(new FlightLoad(new TargetId("a"), 4, 0, 0)));
+		this.targets.setOtherLoads(List.of(new FlightLoad(new TargetId("a"), 4, 0, 0)), 1);
 		assertThat(choose(MODEL, 100)).isEmpty();
-		this.targets.setOtherLoads(List.of());
+		this.targets.setOtherLoads(List.of(), 1);
 		assertThat(choose(MODEL, 100)).isPresent();
 	}
 
 	@Test
 	void shouldNotOverfillTheMemoryOfAnEngine() {
 		add("a", MODEL, TargetCondition.READY, 0);
-		this.targets.setOtherLoads(List.of(new FlightLoad(new TargetId("a"), 1, 0, 85_000)));
+		this.targets.setOtherLoads(List.of(new FlightLoad(new TargetId("a"), 1, 0, 85_000)), 1);
 		assertThat(choose(MODEL, 20_000)).isEmpty();
 		assertThat(choose(MODEL, 1_000)).isPresent();
 	}
--- a/vanillatrestle-core/src/test/java/org/vanillatrestle/internal/log/VoterTargetTests.java
+++ b/vanillatrestle-core/src/test/java/org/vanillatrestle/internal/log/VoterTargetTests.java
@@ -14,6 +14,8 @@
 
 	private static final int TARGET = 3;
 
+	private static final long ELECTION_TIMEOUT_MILLIS = 300;
+
 	@Test
 	void shouldKeepFurtherReplicasAsLearners() {
 		SimulatedGroup group = group(4);
@@ -55,6 +57,24 @@
 		assertThat(membership(group).isVoter(lost.id())).isTrue();
 	}
 
+	@Test
+	void shouldElectALeaderWithinOneElectionTimeoutWhenAllWereRestarted() {
+		SimulatedGroup group = group(3);
+		group.commit(1);
+		group.replicas().forEach((replica) -> replica.crash(0));
+		group.restartStopped();
+		group.runFor(ELECTION_TIMEOUT_MILLIS);
+		assertThat(group.leader()).isPresent();
+	}
+
+	/**
+	 * A voter that came back while the learner took its place left four voters for good.
+	 */
+	@Test
+	void shouldGoBackToTheTargetWhenASilentVoterReturnsInTheMiddle() {
+		shouldLoseNothingWhileReplicasAreCutAndWiped(6, 4);
+	}
+
 	@Property(tries = 60)
 	void shouldLoseNothingWhileReplicasAreCutAndWiped(@ForAll long seed, @ForAll @IntRange(min = 4, max = 5) int size) {
 		SimulatedGroup group = group(size);
