Explain a request from the logs

The decisions of a request are kept until its end and logged if it was refused, failed, slow or sent more than once: what was believed of the target, how old that was, the second choice. The command explain gathers the lines of a request from several logs.

--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/Vanillatrestle.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/Vanillatrestle.java
@@ -7,6 +7,7 @@
 
 import org.vanillatrestle.daemon.internal.cli.Command;
 import org.vanillatrestle.daemon.internal.cli.ExitCode;
+import org.vanillatrestle.daemon.internal.cli.ExplainCommand;
 import org.vanillatrestle.daemon.internal.cli.OperatorCommands;
 import org.vanillatrestle.daemon.internal.cli.ReplicaFoundCommand;
 import org.vanillatrestle.daemon.internal.cli.RunCommand;
@@ -42,6 +43,7 @@
 		commands.add(new RunCommand());
 		commands.add(new SettingsCheckCommand());
 		commands.add(new ReplicaFoundCommand());
+		commands.add(new ExplainCommand());
 		commands.addAll(OperatorCommands.all());
 		return List.copyOf(commands);
 	}
--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/CallerRoute.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/CallerRoute.java
@@ -102,7 +102,8 @@
 		}
 		RequestShape shape = new RequestShape(service.get(), details.promptTokens(), details.maxOutputTokens(),
 				details.promptParts());
-		RoutedRequest routed = new RoutedRequest(this.context, route.get(), shape, request, details, sink, forwarded);
+		RoutedRequest routed = new RoutedRequest(this.context, route.get(), this.declaration.version(), shape, request,
+				details, sink, forwarded);
 		routed.start();
 		return routed.isEnded() ? null : routed;
 	}
--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/EntryPart.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/EntryPart.java
@@ -213,7 +213,7 @@
 		this.targets.setOtherLoads(entries.stream()
 			.filter((entry) -> near.contains(entry.vm()) && !entry.vm().equals(self))
 			.flatMap((entry) -> entry.loads().stream())
-			.toList());
+			.toList(), System.nanoTime());
 		this.budget.setVmCount(Math.max(1, entries.size()));
 	}
 
--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/RoutedRequest.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/RoutedRequest.java
@@ -63,6 +63,8 @@
 
 	private final DeclaredRoute route;
 
+	private final long version;
+
 	private final RequestShape shape;
 
 	private final CallerRequest request;
@@ -83,6 +85,8 @@
 
 	private final AnswerRelay relay;
 
+	private final RequestTrail trail = new RequestTrail();
+
 	private Verdict verdict = Verdict.NOT_RUN;
 
 	private int sends;
@@ -97,10 +101,13 @@
 
 	private boolean ended;
 
-	RoutedRequest(GatewayContext context, DeclaredRoute route, RequestShape shape, CallerRequest request,
+	private long firstPartMillis;
+
+	RoutedRequest(GatewayContext context, DeclaredRoute route, long version, RequestShape shape, CallerRequest request,
 			CallDetails details, AnswerSink sink, boolean forwarded) {
 		this.context = context;
 		this.route = route;
+		this.version = version;
 		this.shape = shape;
 		this.request = request;
 		this.details = details;
@@ -161,6 +168,10 @@
 	private void send(Choice choice, long now) {
 		this.triedTargets.add(choice.target().id());
 		this.sends++;
+		this.trail.add(EventKind.PLACED, waitedMillis(), "target", choice.target().id(), "waitMillis",
+				choice.waitMillis(), "unreadTokens", choice.unreadTokens(), "inFlight", choice.load().requests(),
+				"queuedTokens", choice.load().unreadTokens(), "loadAgeMillis", choice.loadAgeMillis(), "runnerUp",
+				choice.runnerUp(), "leftMillis", leftMillis());
 		this.attempt = RoutedAttempt.atTarget(this, this.context.targets().begin(choice, this.shape, now), choice);
 		this.attempt.start();
 	}
@@ -168,9 +179,8 @@
 	private void sendAway(RemoteEntries.RemoteChoice choice, long localMillis) {
 		this.triedVms.add(choice.vm());
 		this.sends++;
-		this.context.journal()
-			.log(EventKind.SENT_AWAY, "request", id(), "vm", choice.vm(), "region", choice.region(), "waitMillis",
-					choice.waitMillis(), "localWaitMillis", (localMillis == Long.MAX_VALUE) ? -1 : localMillis);
+		this.trail.add(EventKind.SENT_AWAY, waitedMillis(), "vm", choice.vm(), "region", choice.region(), "waitMillis",
+				choice.waitMillis(), "localWaitMillis", (localMillis == Long.MAX_VALUE) ? -1 : localMillis);
 		this.context.journal().count("sent.away", service());
 		this.attempt = RoutedAttempt.atVm(this, choice);
 		this.attempt.start();
@@ -187,16 +197,14 @@
 		if (attemptVerdict != Verdict.NOT_RUN) {
 			this.runs++;
 		}
-		this.context.journal()
-			.log(EventKind.ATTEMPT_FAILED, "request", id(), "at", this.attempt.place(), "verdict", attemptVerdict,
-					"detail", detail, "atMillis", waitedMillis());
+		this.trail.add(EventKind.ATTEMPT_FAILED, waitedMillis(), "at", this.attempt.place(), "verdict", attemptVerdict,
+				"detail", detail, "lastEvent", this.relay.lastEventId());
 		if (this.ended) {
 			return;
 		}
 		if (mayRepeat(attemptVerdict, arrived)) {
-			this.context.journal()
-				.log(EventKind.RETRIED, "request", id(), "sends", this.sends, "runs", this.runs, "budgetLeft",
-						Math.floor(this.context.budget().left(this.shape.service().name(), System.nanoTime())));
+			this.trail.add(EventKind.RETRIED, waitedMillis(), "sends", this.sends, "runs", this.runs, "budgetLeft",
+					Math.floor(this.context.budget().left(this.shape.service().name(), System.nanoTime())));
 			this.context.journal().count("retries", service());
 			place();
 			return;
@@ -249,6 +257,9 @@
 	 * The answer was delivered whole.
 	 */
 	void answered() {
+		if (!this.route.isStreaming()) {
+			this.firstPartMillis = waitedMillis();
+		}
 		end(EventKind.ANSWERED, "");
 	}
 
@@ -288,11 +299,17 @@
 		}
 		long now = System.nanoTime();
 		this.context.journal().ended(service(), outcome, reason, now - this.arrivedNanos);
+		boolean plain = outcome == EventKind.ANSWERED && this.sends == 1
+				&& this.firstPartMillis <= this.route.objectiveMillis();
+		if (!plain) {
+			this.trail.write(this.context.journal(), id());
+		}
 		this.context.journal()
 			.log(outcome, "request", id(), "route", this.route.name(), "service", service(), "reason",
-					reason.isEmpty() ? null : reason, "at", (this.attempt != null) ? this.attempt.place() : null,
-					"sends", this.sends, "verdict", this.verdict, "millis", waitedMillis(), "leftMillis",
-					this.leftAtArrivalMillis, "tokens", this.shape.promptTokens(), "forwarded", this.forwarded);
+					reason.isEmpty() ? null : reason, "version", this.version, "at",
+					(this.attempt != null) ? this.attempt.place() : null, "sends", this.sends, "verdict", this.verdict,
+					"millis", waitedMillis(), "leftMillis", this.leftAtArrivalMillis, "tokens",
+					this.shape.promptTokens(), "forwarded", this.forwarded);
 	}
 
 	GatewayContext context() {
@@ -359,6 +376,7 @@
 	}
 
 	void firstPart() {
+		this.firstPartMillis = waitedMillis();
 		this.context.journal().firstPart(service(), System.nanoTime() - this.arrivedNanos);
 	}
 
--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/logging/EventKind.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/logging/EventKind.java
@@ -35,6 +35,8 @@
 	REPORT_REFUSED,
 	/** A target gets no requests for a while. */
 	TARGET_EJECTED,
+	/** A request was sent to a target. */
+	PLACED,
 	/** An attempt ended without a whole answer. */
 	ATTEMPT_FAILED,
 	/** A request goes to another target. */
