Count the prompt's reading in another region, and streams held up here

Ruled out: waits in queues, which were 0 tokens in all 13 cases. The wait in another region now includes the reading of the request's own part. Streams were late by pauses: a long prompt is read in many steps, in each of which all running streams wait. Such a prompt now counts against targets with running streams.

--- a/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/gateway/GatewayTargets.java
+++ b/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/gateway/GatewayTargets.java
@@ -62,6 +62,17 @@
 	 */
 	private static final double WORK_WEIGHT = 1;
 
+	/**
+	 * A prompt so long is read in many steps, in each of which all running streams wait.
+	 */
+	private static final long LONG_PROMPT_TOKENS = 16_000;
+
+	/**
+	 * The part of a long prompt's reading time that counts for each request that it holds
+	 * up.
+	 */
+	private static final double HELD_UP_PART = 0.25;
+
 	private static final long NANOS_PER_MILLI = 1_000_000;
 
 	private final VmId self;
@@ -181,14 +192,23 @@
 			long unread = Math.max(0, shape.promptTokens() - cached);
 			double wait = waitMillis(target, shape.service(), unread);
 			if (wait >= 0 && hasMemory(target, shape, unread)) {
-				double work = speed(shape.service().name()).readMillis(unread);
-				double cost = (wait + WORK_WEIGHT * work) / Math.max(0.1, 1 - target.health().failedShare());
+				double cost = cost(shape, wait, unread, target.total().requests())
+						/ Math.max(0.1, 1 - target.health().failedShare());
 				candidates.add(new Candidate(target, wait, unread, cost));
 			}
 		}
 		return best(candidates, nowNanos);
 	}
 
+	private double cost(RequestShape shape, double wait, long unread, int running) {
+		if (shape.service().engine().isEmpty()) {
+			return wait;
+		}
+		double work = speed(shape.service().name()).readMillis(unread);
+		double heldUp = (unread > LONG_PROMPT_TOKENS) ? HELD_UP_PART * running * work : 0;
+		return wait + WORK_WEIGHT * work + heldUp;
+	}
+
 	private Optional<Choice> best(List<Candidate> candidates, long nowNanos) {
 		if (candidates.isEmpty()) {
 			return Optional.empty();
@@ -289,6 +309,20 @@
 		return flight;
 	}
 
+	/**
+	 * Estimates how long a target that is not known in detail reads a request's prompt.
+	 * It probably keeps what other requests share.
+	 * @param shape the request
+	 * @return the time, 0 for a plain service
+	 */
+	public long readMillis(RequestShape shape) {
+		if (shape.service().engine().isEmpty()) {
+			return 0;
+		}
+		long unread = Math.max(0, shape.promptTokens() - tokens(shape.sharedParts()));
+		return Math.round(speed(shape.service().name()).readMillis(unread));
+	}
+
 	/**
 	 * Estimates how soon one more request of a service could be served.
 	 * @param service the service
--- a/vanillatrestle-core/src/test/java/org/vanillatrestle/internal/gateway/GatewayTargetsTests.java
+++ b/vanillatrestle-core/src/test/java/org/vanillatrestle/internal/gateway/GatewayTargetsTests.java
@@ -96,6 +96,25 @@
 		assertThat(choose(shape).orElseThrow().unreadTokens()).isEqualTo(9_000);
 	}
 
+	@Test
+	void shouldExpectAnotherRegionToReadTheRequestsOwnPart() {
+		long shortPrompt = this.targets.readMillis(shape(MODEL, 200, "shared", "own"));
+		long longPrompt = this.targets.readMillis(shape(MODEL, 80_000, "shared", "own"));
+		assertThat(longPrompt).isGreaterThan(shortPrompt + 500);
+		assertThat(this.targets.readMillis(shape(PLAIN, 0))).isZero();
+	}
+
+	@Test
+	void shouldKeepALongPromptAwayFromRunningStreams() {
+		add("a", MODEL, TargetCondition.READY, 0);
+		add("b", MODEL, TargetCondition.READY, 0);
+		this.targets.setOtherLoads(
+				List.of(new FlightLoad(new TargetId("a"), 3, 0, 0), new FlightLoad(new TargetId("b"), 1, 12_000, 0)),
+				1);
+		assertThat(choose(MODEL, 1_000).orElseThrow().target().id().value()).isEqualTo("a");
+		assertThat(choose(MODEL, 40_000).orElseThrow().target().id().value()).isEqualTo("b");
+	}
+
 	@Test
 	void shouldCountWhatOtherVmsHaveInFlight() {
 		add("a", MODEL, TargetCondition.READY, 0);
--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/RoutedAttempt.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/RoutedAttempt.java
@@ -88,9 +88,9 @@
 				id.value(), choice.waitMillis());
 	}
 
-	static RoutedAttempt atVm(RoutedRequest request, RemoteEntries.RemoteChoice choice) {
+	static RoutedAttempt atVm(RoutedRequest request, RemoteEntries.RemoteChoice choice, long expectedMillis) {
 		return new RoutedAttempt(request, choice.address(), Optional.empty(), Optional.of(choice), choice.vm().value(),
-				choice.waitMillis());
+				expectedMillis);
 	}
 
 	void start() {
--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/RoutedRequest.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/RoutedRequest.java
@@ -137,7 +137,8 @@
 		Optional<RemoteEntries.RemoteChoice> remote = this.forwarded ? Optional.empty()
 				: this.context.remotes().choose(this.route, this.shape.service().name(), this.triedVms);
 		long localMillis = local.map(Choice::waitMillis).orElse(Long.MAX_VALUE);
-		long remoteMillis = remote.map(RemoteEntries.RemoteChoice::waitMillis).orElse(Long.MAX_VALUE);
+		long remoteMillis = remote.map((choice) -> choice.waitMillis() + this.context.targets().readMillis(this.shape))
+			.orElse(Long.MAX_VALUE);
 		boolean away = remote.isPresent() && localMillis > AWAY_PART * this.route.objectiveMillis()
 				&& remoteMillis < AWAY_GAIN * localMillis;
 		long expectedMillis = away ? remoteMillis : localMillis;
@@ -150,7 +151,7 @@
 			return;
 		}
 		if (away) {
-			sendAway(remote.get(), localMillis);
+			sendAway(remote.get(), remoteMillis, localMillis);
 		}
 		else {
 			send(local.get(), now);
@@ -176,13 +177,13 @@
 		this.attempt.start();
 	}
 
-	private void sendAway(RemoteEntries.RemoteChoice choice, long localMillis) {
+	private void sendAway(RemoteEntries.RemoteChoice choice, long expectedMillis, long localMillis) {
 		this.triedVms.add(choice.vm());
 		this.sends++;
 		this.trail.add(EventKind.SENT_AWAY, waitedMillis(), "vm", choice.vm(), "region", choice.region(), "waitMillis",
-				choice.waitMillis(), "localWaitMillis", (localMillis == Long.MAX_VALUE) ? -1 : localMillis);
+				expectedMillis, "localWaitMillis", (localMillis == Long.MAX_VALUE) ? -1 : localMillis);
 		this.context.journal().count("sent.away", service());
-		this.attempt = RoutedAttempt.atVm(this, choice);
+		this.attempt = RoutedAttempt.atVm(this, choice, expectedMillis);
 		this.attempt.start();
 	}
 
