Put requests in flight down to a loan only as long as its lender counts it

Cause: a borrower whose loan had ended, as its link was cut, went on attributing requests in flight to that lender, and told a second lender that it kept less than it used; the second lent the rest again. Ruled out: late answers, whose sequence is checked, and clocks, whose margin is wider. Requests now count for a loan until the deadline after its end, as at the lender.

Server addresses are taken without a scheme too, as OPERATIONS.md shows them.

--- a/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/limits/BorrowedBook.java
+++ b/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/limits/BorrowedBook.java
@@ -11,7 +11,9 @@
  * What one VM has borrowed for one service.
  * <p>
  * A loan lasts from when it was asked for, by this VM's clock. Only the answer to the
- * latest request to a lender counts. Not thread safe.
+ * latest request to a lender counts. Requests in flight are put down to a loan for no
+ * longer than the lender counts them: until the service's deadline after its end. Not
+ * thread safe.
  */
 final class BorrowedBook {
 
@@ -21,10 +23,20 @@
 
 	private long nextSequence = 1;
 
+	private long deadlineNanos;
+
 	BorrowedBook(LimitSettings settings) {
 		this.settings = settings;
 	}
 
+	/**
+	 * Sets the longest that a request may be in flight.
+	 * @param nanos the deadline
+	 */
+	void deadline(long nanos) {
+		this.deadlineNanos = nanos;
+	}
+
 	LimitShare borrowed(long nowNanos) {
 		LimitShare sum = LimitShare.NONE;
 		for (Borrowed loan : this.loans.values()) {
@@ -46,7 +58,7 @@
 	List<VmId> lenders(long nowNanos) {
 		List<VmId> result = new ArrayList<>();
 		this.loans.forEach((lender, loan) -> {
-			if (!loan.usable(nowNanos).isNone() || loan.heldInFlight > 0) {
+			if (!loan.usable(nowNanos).isNone() || loan.held(nowNanos, this.deadlineNanos) > 0) {
 				result.add(lender);
 			}
 		});
@@ -73,7 +85,8 @@
 		Borrowed loan = this.loans.computeIfAbsent(lender, (key) -> new Borrowed());
 		LimitShare usable = loan.usable(nowNanos).min(kept);
 		loan.amount = usable;
-		loan.heldInFlight = Math.max(usable.inFlight(), Math.min(loan.heldInFlight, excessInFlight));
+		long held = loan.held(nowNanos, this.deadlineNanos);
+		loan.heldInFlight = Math.max(usable.inFlight(), Math.min(held, excessInFlight));
 		loan.sequence = this.nextSequence++;
 		loan.askedNanos = nowNanos;
 		return new LimitShare(usable.milliRequestsPerSecond(), usable.tokensPerSecond(), loan.heldInFlight);
@@ -83,9 +96,9 @@
 		return this.loans.get(lender).sequence;
 	}
 
-	long heldInFlight(VmId lender) {
+	long heldInFlight(VmId lender, long nowNanos) {
 		Borrowed loan = this.loans.get(lender);
-		return (loan != null) ? loan.heldInFlight : 0;
+		return (loan != null) ? loan.held(nowNanos, this.deadlineNanos) : 0;
 	}
 
 	void answered(VmId lender, LimitMessage.LoanAnswer answer, long nowNanos) {
@@ -98,7 +111,7 @@
 			return;
 		}
 		loan.amount = answer.granted();
-		loan.heldInFlight = Math.max(loan.heldInFlight, answer.granted().inFlight());
+		loan.heldInFlight = Math.max(loan.held(nowNanos, this.deadlineNanos), answer.granted().inFlight());
 		loan.expiresNanos = expiresNanos;
 	}
 
@@ -133,6 +146,11 @@
 
 		private long expiresNanos = Long.MIN_VALUE;
 
+		long held(long nowNanos, long deadlineNanos) {
+			boolean counted = this.expiresNanos != Long.MIN_VALUE && nowNanos < this.expiresNanos + deadlineNanos;
+			return counted ? this.heldInFlight : 0;
+		}
+
 		LimitShare usable(long nowNanos) {
 			return (nowNanos < this.expiresNanos) ? this.amount : LimitShare.NONE;
 		}
--- a/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/limits/ServiceLimits.java
+++ b/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/limits/ServiceLimits.java
@@ -68,6 +68,7 @@
 		boolean first = this.revision == 0;
 		this.revision = newRevision;
 		this.deadlineNanos = Math.max(this.deadlineNanos, newDeadlineNanos);
+		this.borrowed.deadline(this.deadlineNanos);
 		this.own = first ? newOwn : this.own.min(newOwn);
 		this.grown = newOwn;
 		this.grownNanos = nowNanos + this.settings.guardNanos();
@@ -207,7 +208,7 @@
 	boolean drop(VmId lender, long inFlight, long nowNanos) {
 		this.borrowed.drop(lender);
 		changed();
-		if (this.borrowed.heldInFlight(lender) > 0 && inFlight > usable(false, nowNanos).inFlight()) {
+		if (this.borrowed.heldInFlight(lender, nowNanos) > 0 && inFlight > usable(false, nowNanos).inFlight()) {
 			return false;
 		}
 		this.borrowed.released(lender);
--- a/vanillatrestle-core/src/test/java/org/vanillatrestle/internal/limits/LimitSharesTests.java
+++ b/vanillatrestle-core/src/test/java/org/vanillatrestle/internal/limits/LimitSharesTests.java
@@ -39,6 +39,14 @@
 		}
 	}
 
+	/**
+	 * Requests in flight were put down to a loan that its lender did not count any more.
+	 */
+	@Test
+	void shouldNotPutRequestsDownToALoanThatIsOver() {
+		shouldNeverExceedTheLimitTogether(8826170625676L);
+	}
+
 	@Test
 	void shouldServeNineTenthsUnderTenfoldSkewWhileLinksAreUp() {
 		LimitWorld world = new LimitWorld(1, 2, false);
--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/cli/ServerAddresses.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/cli/ServerAddresses.java
@@ -11,6 +11,8 @@
  */
 final class ServerAddresses {
 
+	private static final String SCHEME_END = "://";
+
 	private ServerAddresses() {
 	}
 
@@ -24,7 +26,7 @@
 
 	static URI parse(String server) throws CommandFault {
 		try {
-			URI address = URI.create(server);
+			URI address = URI.create(server.contains(SCHEME_END) ? server : "http" + SCHEME_END + server);
 			if ("http".equals(address.getScheme()) && address.getHost() != null && address.getPort() > 0) {
 				return URI.create("http://" + address.getRawAuthority());
 			}
@@ -37,7 +39,7 @@
 
 	private static CommandFault fault(String server) {
 		return new CommandFault(ExitCode.INVALID,
-				"'" + server + "' is no server address; give for example http://127.0.1.1:8080");
+				"'" + server + "' is no server address; give for example http://127.0.1.1:8080 or 127.0.1.1:8080");
 	}
 
 }
