Acknowledge nothing before the group bears the loss of a disk

Cause: the leader acknowledged with 2f voters, f being the control VMs that may be lost. With f = 1 a group of two acknowledged; the loss of one disk then leaves one of two voters and no majority for good. Ruled out: a lost acknowledgement (the change before it was answered by the group).

Change: 2f + 1 voters before the first acknowledgement.

--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/ControlPart.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/ControlPart.java
@@ -98,13 +98,14 @@
 			Closer closer) throws IOException {
 		this.settings = settings;
 		this.protocol = protocol;
-		int lostVms = settings.bounds().lostVms();
+		// fewer would leave no majority once the disks that may be lost are lost
+		int voters = 2 * settings.bounds().lostVms() + 1;
 		ReplicaSettings defaults = ReplicaSettings.of(Set.of(settings.vm()));
 		ReplicaSettings replicaSettings = new ReplicaSettings(logSettings(defaults.log()), defaults.wantedVoters(),
-				2 * lostVms + 1, defaults.batchLimit(), defaults.queueLimit(), defaults.waitingBytesLimit());
+				voters, defaults.batchLimit(), defaults.queueLimit(), defaults.waitingBytesLimit());
 		this.replica = closer
 			.add(new DeclaredReplica(settings.vm(), settings.dataFolder().orElseThrow().resolve(DeclaredReplica.FOLDER),
-					isFounder(settings), links::sendLog, replicaSettings, 2 * lostVms, (state) -> hand(loop, state)));
+					isFounder(settings), links::sendLog, replicaSettings, voters, (state) -> hand(loop, state)));
 		this.calls = new DeclarationCalls(settings.vm(), this.replica, () -> links);
 		this.fleet = new ControlFleet(links, loop, this.calls);
 		closer.add(this.supervisor::shutdownNow);
