Keep a target cold that was taken back, whatever a report says

Cause: GatewayTarget.update set the time to stay cold anew from each report, so a report made before the target became cold could shorten what the end of an evacuation set, and the bound on cold targets would not have been applied. The time set by an evacuation's end is now kept apart. The test failed first.

--- a/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/gateway/GatewayTarget.java
+++ b/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/gateway/GatewayTarget.java
@@ -25,6 +25,8 @@
 
 	private long coldUntilNanos;
 
+	private long chilledUntilNanos;
+
 	private long startedNanos;
 
 	private FlightLoad own;
@@ -32,6 +34,7 @@
 	private FlightLoad others;
 
 	GatewayTarget(TargetReport report, long nowNanos) {
+		this.chilledUntilNanos = nowNanos;
 		this.own = new FlightLoad(report.target(), 0, 0, 0);
 		this.others = this.own;
 		update(report, nowNanos);
@@ -56,12 +59,12 @@
 	}
 
 	/**
-	 * Treats the target as cold from now on.
+	 * Treats the target as cold from now on, whatever its reports say.
 	 * @param millis for how long at least
 	 * @param nowNanos the monotonic time
 	 */
 	void chill(long millis, long nowNanos) {
-		this.coldUntilNanos = Math.max(this.coldUntilNanos, nowNanos + TimeUnit.MILLISECONDS.toNanos(millis));
+		this.chilledUntilNanos = nowNanos + TimeUnit.MILLISECONDS.toNanos(millis);
 	}
 
 	public TargetReport report() {
@@ -78,7 +81,7 @@
 	}
 
 	boolean isCold(long nowNanos) {
-		return this.coldUntilNanos - nowNanos > 0;
+		return Math.max(this.coldUntilNanos, this.chilledUntilNanos) - nowNanos > 0;
 	}
 
 	TargetHealth health() {
--- a/vanillatrestle-core/src/test/java/org/vanillatrestle/internal/gateway/GatewayTargetsTests.java
+++ b/vanillatrestle-core/src/test/java/org/vanillatrestle/internal/gateway/GatewayTargetsTests.java
@@ -135,13 +135,7 @@
 	@Test
 	void shouldBoundRequestsToAColdTarget() {
 		add("a", MODEL, TargetCondition.READY, 3_000);
-		int sent = 0;
-		RequestShape shape = shape(MODEL, 10, "p");
-		for (Optional<Choice> choice = choose(shape); choice.isPresent(); choice = choose(shape)) {
-			this.targets.begin(choice.get(), shape, 0).answered(1);
-			sent++;
-		}
-		assertThat(sent).isBetween(1, 6);
+		assertThat(sendUntilRefused(50)).isBetween(1, 6);
 	}
 
 	@Test
@@ -149,13 +143,27 @@
 		add("a", MODEL, TargetCondition.READY, 0);
 		this.targets.setEvacuated(Set.of(ZONE), Map.of(), 0);
 		this.targets.setEvacuated(Set.of(), Map.of(MODEL.name(), 3_000L), 0);
+		assertThat(sendUntilRefused(50)).isLessThanOrEqualTo(6);
+	}
+
+	// the report may have been made before the target became cold
+	@Test
+	void shouldTreatTargetsTakenBackAsColdThoughAReportSaysWarm() {
+		add("a", MODEL, TargetCondition.READY, 500);
+		this.targets.setEvacuated(Set.of(ZONE), Map.of(), 0);
+		this.targets.setEvacuated(Set.of(), Map.of(MODEL.name(), 3_000L), 0);
+		add("a", MODEL, TargetCondition.READY, 0);
+		assertThat(sendUntilRefused(50)).isLessThanOrEqualTo(6);
+	}
+
+	private int sendUntilRefused(int most) {
 		int sent = 0;
 		RequestShape shape = shape(MODEL, 10, "p");
-		for (Optional<Choice> choice = choose(shape); choice.isPresent() && sent < 50; choice = choose(shape)) {
+		for (Optional<Choice> choice = choose(shape); choice.isPresent() && sent < most; choice = choose(shape)) {
 			this.targets.begin(choice.get(), shape, 0).answered(1);
 			sent++;
 		}
-		assertThat(sent).isLessThanOrEqualTo(6);
+		return sent;
 	}
 
 	@Test
