Tell the longest pause of a stream in the log, with the whole trail when it is too long

A stream that paused for longer than its route's objective counted as fast and left only a sampled line. The end of each request now tells when the first part and how late the slowest next part was sent; a long pause is logged like a late first part.

--- a/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/declaration/DeclaredRoute.java
+++ b/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/declaration/DeclaredRoute.java
@@ -18,14 +18,15 @@
  * @param resumable whether a broken stream may go on at another target
  * @param timeoutMillis the longest time that a request may take
  * @param objectiveMillis the time within which an answer is wanted
+ * @param pauseObjectiveMillis the longest pause wanted between two events of a stream
  * @param priority the rank of its requests, 0 for the most urgent
  * @param maxAttempts the most targets that may run one request
  * @param homes the regions allowed to process its requests, empty for all
  * @param shares the services that serve it
  */
 public record DeclaredRoute(String name, String host, String pathPrefix, RouteKind kind, boolean resumable,
-		long timeoutMillis, long objectiveMillis, int priority, int maxAttempts, Set<RegionId> homes,
-		List<ServiceShare> shares) {
+		long timeoutMillis, long objectiveMillis, long pauseObjectiveMillis, int priority, int maxAttempts,
+		Set<RegionId> homes, List<ServiceShare> shares) {
 
 	public DeclaredRoute {
 		homes = Set.copyOf(homes);
--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/AnswerRelay.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/AnswerRelay.java
@@ -53,7 +53,7 @@
 	/**
 	 * Takes a part of the body.
 	 * @param data the part; released
-	 * @return whether the caller was sent the first part of the answer by this
+	 * @return whether the caller was sent a part of a stream by this
 	 */
 	boolean body(ByteBuf data) {
 		if (!isStream()) {
@@ -65,18 +65,16 @@
 		if (!whole.isReadable()) {
 			return false;
 		}
-		boolean first = begin();
+		begin();
 		this.sink.body(whole);
-		return first;
+		return true;
 	}
 
-	private boolean begin() {
-		if (this.begun) {
-			return false;
+	private void begin() {
+		if (!this.begun) {
+			this.begun = true;
+			this.sink.head(this.head);
 		}
-		this.begun = true;
-		this.sink.head(this.head);
-		return true;
 	}
 
 	/**
--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/RoutedAttempt.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/RoutedAttempt.java
@@ -203,7 +203,7 @@
 		this.progressNanos = System.nanoTime();
 		this.progressed = true;
 		if (this.request.relay().body(data)) {
-			this.request.firstPart();
+			this.request.partSent();
 		}
 		if (this.request.relay().hasGap()) {
 			this.handle.cancel();
--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/RoutedRequest.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/RoutedRequest.java
@@ -101,7 +101,7 @@
 
 	private boolean ended;
 
-	private long firstPartMillis;
+	private final StreamPace pace = new StreamPace();
 
 	RoutedRequest(GatewayContext context, DeclaredRoute route, long version, RequestShape shape, CallerRequest request,
 			CallDetails details, AnswerSink sink, boolean forwarded) {
@@ -258,8 +258,8 @@
 	 * The answer was delivered whole.
 	 */
 	void answered() {
-		if (!this.route.isStreaming()) {
-			this.firstPartMillis = waitedMillis();
+		if (!this.pace.isBegun()) {
+			this.pace.part(waitedMillis());
 		}
 		end(EventKind.ANSWERED, "");
 	}
@@ -301,7 +301,7 @@
 		long now = System.nanoTime();
 		this.context.journal().ended(service(), outcome, reason, now - this.arrivedNanos);
 		boolean plain = outcome == EventKind.ANSWERED && this.sends == 1
-				&& this.firstPartMillis <= this.route.objectiveMillis();
+				&& this.pace.isWithin(this.route.objectiveMillis(), this.route.pauseObjectiveMillis());
 		if (!plain) {
 			this.trail.write(this.context.journal(), id());
 		}
@@ -309,7 +309,8 @@
 			.log(outcome, "request", id(), "route", this.route.name(), "service", service(), "reason",
 					reason.isEmpty() ? null : reason, "version", this.version, "at",
 					(this.attempt != null) ? this.attempt.place() : null, "sends", this.sends, "verdict", this.verdict,
-					"millis", waitedMillis(), "leftMillis", this.leftAtArrivalMillis, "tokens",
+					"millis", waitedMillis(), "firstPartMillis",
+					this.pace.firstPartMillis(), "longestPauseMillis", this.pace.longestPauseMillis(), "leftMillis", this.leftAtArrivalMillis, "tokens",
 					this.shape.promptTokens(), "forwarded", this.forwarded);
 	}
 
@@ -376,9 +377,14 @@
 		return TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - this.arrivedNanos);
 	}
 
-	void firstPart() {
-		this.firstPartMillis = waitedMillis();
-		this.context.journal().firstPart(service(), System.nanoTime() - this.arrivedNanos);
+	/**
+	 * A part of a stream was sent to the caller.
+	 */
+	void partSent() {
+		if (!this.pace.isBegun()) {
+			this.context.journal().firstPart(service(), System.nanoTime() - this.arrivedNanos);
+		}
+		this.pace.part(waitedMillis());
 	}
 
 }
