Tell loads apart from beats: fresher within a region, fewer bytes

Cause: what other entry VMs have in flight came with the beats of the control VMs, 250 to 500 ms old. And every control VM told every entry VM of all others four times a second, with their loads: with 73 entry and 6 control VMs some hundred KB/s for each VM, by its messages.

Change: loads are messages of their own, to the control VMs of the region; one of them tells each entry VM the sum of the others, 100 ms after a change, at once after a large prompt was placed. Entry VMs follow two control VMs for the table of entry VMs, which is told whole once a second and else by its changes; targets are told to entry VMs of their region only.

--- a/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/fleet/EntryReport.java
+++ b/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/fleet/EntryReport.java
@@ -17,14 +17,12 @@
  * @param frontAddress where it takes callers' requests, as {@code host:port}
  * @param forwardAddress where it takes requests from other VMs, as {@code host:port}
  * @param ready whether it takes new requests
- * @param loads what it has in flight at each target
  * @param waits for each service how soon it could serve one more request
  */
 public record EntryReport(VmId vm, RegionId region, DataCentreId dataCentre, String frontAddress, String forwardAddress,
-		boolean ready, List<FlightLoad> loads, List<ServiceWait> waits) {
+		boolean ready, List<ServiceWait> waits) {
 
 	public EntryReport {
-		loads = List.copyOf(loads);
 		waits = List.copyOf(waits);
 	}
 
--- a/vanillatrestle-core/src/test/java/org/vanillatrestle/internal/declaration/Declarations.java
+++ b/vanillatrestle-core/src/test/java/org/vanillatrestle/internal/declaration/Declarations.java
@@ -27,8 +27,8 @@
 	}
 
 	private static DeclaredRoute route(String name, String prefix, List<ServiceShare> shares) {
-		return new DeclaredRoute(name, "a.example", prefix, RouteKind.IDEMPOTENT, false, 1000, 400, 800, 0, 2,
-				Set.of(), shares);
+		return new DeclaredRoute(name, "a.example", prefix, RouteKind.IDEMPOTENT, false, 1000, 400, 800, 0, 2, Set.of(),
+				shares);
 	}
 
 	static Declaration of(DeclaredRoute... routes) {
--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/fleet/ControlFleet.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/fleet/ControlFleet.java
@@ -7,6 +7,7 @@
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Predicate;
 
 import io.netty.channel.EventLoop;
 import org.vanillatrestle.RegionId;
@@ -15,6 +16,7 @@
 import org.vanillatrestle.daemon.internal.logging.EventKind;
 import org.vanillatrestle.daemon.internal.logging.EventLog;
 import org.vanillatrestle.internal.declaration.DeclaredState;
+import org.vanillatrestle.internal.fleet.EntryNews;
 import org.vanillatrestle.internal.fleet.EntryReport;
 import org.vanillatrestle.internal.fleet.TargetReport;
 import org.vanillatrestle.internal.fleet.TargetTable;
@@ -36,6 +38,12 @@
 	 */
 	private static final long REPEAT_NANOS = TimeUnit.SECONDS.toNanos(4);
 
+	/**
+	 * Every so many beats all entry VMs are told of, often enough for those who would
+	 * take a silent one for lost.
+	 */
+	private static final int COMPLETE_BEATS = 4;
+
 	private final FleetLinks links;
 
 	private final EventLoop loop;
@@ -50,6 +58,12 @@
 
 	private final Map<VmId, Long> stateSentNanos = new HashMap<>();
 
+	private final LoadExchange loads;
+
+	private final Followers followers = new Followers();
+
+	private final EntryNews entryNews = new EntryNews(COMPLETE_BEATS);
+
 	private DeclaredState state = DeclaredState.NONE;
 
 	private long repeatedNanos;
@@ -64,6 +78,7 @@
 		this.links = links;
 		this.loop = loop;
 		this.replica = replica;
+		this.loads = new LoadExchange(links, loop);
 	}
 
 	/**
@@ -76,34 +91,47 @@
 	private void tick() {
 		this.links.tick();
 		long now = System.nanoTime();
-		List<EntryReport> fresh = this.entries.fresh(now);
-		Map<RegionId, byte[]> beats = new HashMap<>();
+		Set<VmId> following = this.followers.fresh(now);
+		byte[] plain = beat(List.of());
+		byte[] withEntries = beat(this.entryNews.next(this.entries.fresh(now)));
 		for (PeerIdentity peer : this.links.allPeers()) {
-			byte[] beat = beats.computeIfAbsent(peer.region(), (region) -> beat(region, fresh));
-			this.links.send(peer.vm(), beat);
+			this.links.send(peer.vm(), following.contains(peer.vm()) ? withEntries : plain);
 		}
 		if (now - this.repeatedNanos > REPEAT_NANOS) {
 			this.repeatedNanos = now;
-			broadcast(new FleetNews.Targets(this.targets.all(now)));
+			tellTargets(this.targets.all(now),
+					(peer) -> this.links.isControl(peer.vm()) || following.contains(peer.vm()));
 		}
 	}
 
-	private byte[] beat(RegionId region, List<EntryReport> fresh) {
-		List<EntryReport> told = fresh.stream().map((entry) -> forRegion(entry, region)).toList();
+	private byte[] beat(List<EntryReport> told) {
 		return FleetLinks.encode(new FleetNews.ControlBeat(this.state.index(), this.links.controlAddresses(), told));
 	}
 
-	private static EntryReport forRegion(EntryReport entry, RegionId region) {
-		if (entry.region().equals(region)) {
-			return entry;
+	// an entry VM sends only to the targets of its own region
+	private void tellTargets(List<TargetReport> reports, Predicate<PeerIdentity> receivers) {
+		Map<RegionId, byte[]> byRegion = new HashMap<>();
+		byte[] all = FleetLinks.encode(new FleetNews.Targets(reports));
+		for (PeerIdentity peer : this.links.allPeers()) {
+			if (!receivers.test(peer)) {
+				continue;
+			}
+			if (this.links.isControl(peer.vm())) {
+				this.links.send(peer.vm(), all);
+				continue;
+			}
+			byte[] near = byRegion.computeIfAbsent(peer.region(), (region) -> encodeNear(reports, region));
+			if (near.length > 0) {
+				this.links.send(peer.vm(), near);
+			}
 		}
-		return new EntryReport(entry.vm(), entry.region(), entry.dataCentre(), entry.frontAddress(),
-				entry.forwardAddress(), entry.ready(), List.of(), entry.waits());
 	}
 
-	private void broadcast(FleetNews news) {
-		byte[] encoded = FleetLinks.encode(news);
-		this.links.allPeers().forEach((peer) -> this.links.send(peer.vm(), encoded));
+	private byte[] encodeNear(List<TargetReport> reports, RegionId region) {
+		List<TargetReport> near = reports.stream()
+			.filter((report) -> this.links.regionOf(report.dataCentre()).map(region::equals).orElse(true))
+			.toList();
+		return near.isEmpty() ? new byte[0] : FleetLinks.encode(new FleetNews.Targets(near));
 	}
 
 	/**
@@ -117,7 +145,8 @@
 		this.state = changed;
 		EventLog.write(EventKind.DECLARED, "version", changed.version(), "index", changed.index(), "evacuated",
 				changed.evacuated());
-		broadcast(new FleetNews.Declared(changed));
+		byte[] encoded = FleetLinks.encode(new FleetNews.Declared(changed));
+		this.links.allPeers().forEach((peer) -> this.links.send(peer.vm(), encoded));
 	}
 
 	/**
@@ -141,7 +170,7 @@
 			return;
 		}
 		changes.forEach(ControlFleet::logChange);
-		broadcast(new FleetNews.Targets(changes));
+		tellTargets(changes, (peer) -> true);
 	}
 
 	static void logChange(TargetReport report) {
@@ -163,7 +192,7 @@
 		if (control && this.controlVms.add(peer.vm())) {
 			this.replica.setControlVms(this.controlVms);
 		}
-		this.links.send(peer.vm(), FleetLinks.encode(new FleetNews.Targets(this.targets.all(System.nanoTime()))));
+		tellTargets(this.targets.all(System.nanoTime()), (other) -> other.vm().equals(peer.vm()));
 		if (this.state.isDeclared()) {
 			this.links.send(peer.vm(), FleetLinks.encode(new FleetNews.Declared(this.state)));
 		}
@@ -172,16 +201,21 @@
 	@Override
 	public void disconnected(PeerIdentity peer) {
 		this.stateSentNanos.remove(peer.vm());
+		this.loads.forget(peer.vm());
 	}
 
 	@Override
 	public void onNews(VmId sender, FleetNews news) {
 		if (news instanceof FleetNews.EntryBeat beat) {
 			this.entries.heard(beat.entry(), System.nanoTime());
+			this.followers.told(sender, beat.follows(), System.nanoTime());
 			if (beat.declaredIndex() < this.state.index()) {
 				repeatState(sender);
 			}
 		}
+		else if (news instanceof FleetNews.EntryLoads told) {
+			this.links.peer(sender).ifPresent((peer) -> this.loads.told(peer, told));
+		}
 		else if (news instanceof FleetNews.ControlBeat beat) {
 			beat.controlAddresses().forEach(this.links::told);
 		}
@@ -202,16 +236,9 @@
 
 	// an entry VM may have a link to this control VM only
 	private void publishToEntries(List<TargetReport> changes) {
-		if (changes.isEmpty()) {
-			return;
+		if (!changes.isEmpty()) {
+			tellTargets(changes, (peer) -> !this.links.isControl(peer.vm()));
 		}
-		byte[] encoded = FleetLinks.encode(new FleetNews.Targets(changes));
-		Set<VmId> control = new HashSet<>();
-		this.links.controlPeers().forEach((peer) -> control.add(peer.vm()));
-		this.links.allPeers()
-			.stream()
-			.filter((peer) -> !control.contains(peer.vm()))
-			.forEach((peer) -> this.links.send(peer.vm(), encoded));
 	}
 
 	@Override
--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/fleet/EntryFleet.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/fleet/EntryFleet.java
@@ -8,6 +8,7 @@
 import org.vanillatrestle.VmId;
 import org.vanillatrestle.internal.declaration.DeclaredState;
 import org.vanillatrestle.internal.fleet.EntryReport;
+import org.vanillatrestle.internal.fleet.FlightLoad;
 import org.vanillatrestle.internal.fleet.TargetReport;
 import org.vanillatrestle.internal.fleet.TargetTable;
 import org.vanillatrestle.wire.FleetNews;
@@ -22,6 +23,28 @@
 
 	private static final long BEAT_MILLIS = 250;
 
+	/**
+	 * How often loads are told while they change.
+	 */
+	private static final long LOADS_MILLIS = 100;
+
+	/**
+	 * How often loads are told though they don't change, several times before the others
+	 * would forget them.
+	 */
+	private static final long LOADS_REPEAT_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
+
+	/**
+	 * After this silence the loads of the other VMs are unknown.
+	 */
+	private static final long LOADS_FRESH_NANOS = TimeUnit.MILLISECONDS.toNanos(2_000);
+
+	/**
+	 * The control VMs that tell of other entry VMs; a second one covers the loss of the
+	 * first.
+	 */
+	private static final int FOLLOWED = 2;
+
 	private final FleetLinks links;
 
 	private final EventLoop loop;
@@ -36,6 +59,12 @@
 
 	private DeclaredState state = DeclaredState.NONE;
 
+	private List<FlightLoad> toldLoads = List.of();
+
+	private long toldLoadsNanos = System.nanoTime();
+
+	private long heardLoadsNanos = System.nanoTime();
+
 	/**
 	 * Creates the entry VM's part.
 	 * @param links the links
@@ -55,6 +84,7 @@
 	 */
 	public void start() {
 		this.loop.scheduleAtFixedRate(this::tick, 0, BEAT_MILLIS, TimeUnit.MILLISECONDS);
+		this.loop.scheduleAtFixedRate(this::tellLoadsIfDue, LOADS_MILLIS, LOADS_MILLIS, TimeUnit.MILLISECONDS);
 	}
 
 	private void tick() {
@@ -67,8 +97,40 @@
 	 * Tells the control VMs of this VM now.
 	 */
 	public void beat() {
-		byte[] beat = FleetLinks.encode(new FleetNews.EntryBeat(this.ownReport.get(), this.state.index()));
-		this.links.controlPeers().forEach((peer) -> this.links.send(peer.vm(), beat));
+		EntryReport report = this.ownReport.get();
+		int followed = 0;
+		for (PeerIdentity peer : this.links.nearestControlPeers()) {
+			this.links.send(peer.vm(),
+					FleetLinks.encode(new FleetNews.EntryBeat(report, this.state.index(), followed < FOLLOWED)));
+			followed++;
+		}
+	}
+
+	private void tellLoadsIfDue() {
+		long now = System.nanoTime();
+		if (now - this.heardLoadsNanos > LOADS_FRESH_NANOS) {
+			this.heardLoadsNanos = now;
+			this.follower.otherLoadsChanged(List.of());
+		}
+		if (now - this.toldLoadsNanos > LOADS_REPEAT_NANOS || !this.follower.loads().equals(this.toldLoads)) {
+			tellLoads(false);
+		}
+	}
+
+	/**
+	 * Tells what this VM has in flight now.
+	 * @param urgent whether the other VMs should know at once
+	 */
+	public void tellLoads(boolean urgent) {
+		this.toldLoads = this.follower.loads();
+		this.toldLoadsNanos = System.nanoTime();
+		List<PeerIdentity> nearest = this.links.nearestControlPeers();
+		for (int i = 0; i < nearest.size(); i++) {
+			if (i == 0 || this.links.isNear(nearest.get(i))) {
+				this.links.send(nearest.get(i).vm(),
+						FleetLinks.encode(new FleetNews.EntryLoads(this.toldLoads, i == 0, urgent)));
+			}
+		}
 	}
 
 	@Override
@@ -88,6 +150,10 @@
 			beat.controlAddresses().forEach(this.links::told);
 			beat.entries().forEach((entry) -> this.entries.heard(entry, now));
 		}
+		else if (news instanceof FleetNews.RegionLoads told) {
+			this.heardLoadsNanos = now;
+			this.follower.otherLoadsChanged(told.loads());
+		}
 		else if (news instanceof FleetNews.Targets told) {
 			for (TargetReport report : told.reports()) {
 				List<TargetReport> changes = this.targets.merge(report, now);
@@ -121,6 +187,18 @@
 		 */
 		boolean declared(DeclaredState state);
 
+		/**
+		 * What this VM has in flight.
+		 * @return the loads; targets not named have none
+		 */
+		List<FlightLoad> loads();
+
+		/**
+		 * The other entry VMs of the region told what they have in flight.
+		 * @param loads the loads; targets not named have none
+		 */
+		void otherLoadsChanged(List<FlightLoad> loads);
+
 		/**
 		 * The entry VMs heard of lately.
 		 * @param entries their last reports
--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/fleet/FleetLinks.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/fleet/FleetLinks.java
@@ -4,9 +4,11 @@
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.TreeSet;
 import java.util.concurrent.CompletableFuture;
@@ -16,6 +18,8 @@
 
 import io.netty.channel.EventLoop;
 import org.apache.commons.rng.UniformRandomProvider;
+import org.vanillatrestle.DataCentreId;
+import org.vanillatrestle.RegionId;
 import org.vanillatrestle.VmId;
 import org.vanillatrestle.daemon.GatewayRole;
 import org.vanillatrestle.daemon.GatewaySettings;
@@ -195,6 +199,40 @@
 		return !NO_ADDRESS.equals(peer.address());
 	}
 
+	/**
+	 * Returns a VM to which a link is up.
+	 * @param vm the VM
+	 * @return its identity
+	 */
+	Optional<PeerIdentity> peer(VmId vm) {
+		return Optional.ofNullable(this.peers.get(vm));
+	}
+
+	boolean isControl(VmId vm) {
+		return peer(vm).map(FleetLinks::isControl).orElse(false);
+	}
+
+	/**
+	 * Returns the control VMs to which a link is up, the nearest first: those of this
+	 * VM's data centre, then those of its region.
+	 * @return their identities
+	 */
+	List<PeerIdentity> nearestControlPeers() {
+		return controlPeers().stream()
+			.sorted(Comparator.comparing((PeerIdentity peer) -> !peer.dataCentre().equals(this.settings.dataCentre()))
+				.thenComparing((peer) -> !isNear(peer))
+				.thenComparing((peer) -> peer.vm().value()))
+			.toList();
+	}
+
+	boolean isNear(PeerIdentity peer) {
+		return peer.region().equals(this.settings.region());
+	}
+
+	Optional<RegionId> regionOf(DataCentreId dataCentre) {
+		return this.settings.regionOf(dataCentre);
+	}
+
 	/**
 	 * Sends news, or drops them where there is no link.
 	 * @param to the receiver
--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/EntryPart.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/EntryPart.java
@@ -50,6 +50,11 @@
 
 	private static final long HOUSEKEEPING_MILLIS = 1_000;
 
+	/**
+	 * Waits are told to other VMs in steps, so that small changes are no news.
+	 */
+	private static final long WAIT_STEP_MILLIS = 25;
+
 	private final GatewaySettings settings;
 
 	private final EventLoop loop;
@@ -95,9 +100,9 @@
 		this.budget = new RetryBudget(bounds.retryRatio(), bounds.retryAllowance(),
 				TimeUnit.MILLISECONDS.toNanos(bounds.retryWindowMillis()));
 		TargetClient client = closer.add(new TargetClient(loop, CONNECT_TIMEOUT_MILLIS, true));
-		this.callers = new CallerRoute(new GatewayContext(loop, settings.region(), protocol, this.targets, this.remotes,
-				client, this.budget, this.journal, random));
 		this.fleet = new EntryFleet(links, loop, this::report, this);
+		this.callers = new CallerRoute(new GatewayContext(loop, settings.region(), protocol, this.targets, this.remotes,
+				client, this.budget, this.journal, random, () -> this.fleet.tellLoads(true)));
 	}
 
 	public EntryFleet fleet() {
@@ -158,19 +163,15 @@
 
 	private EntryReport report() {
 		long now = System.nanoTime();
-		List<FlightLoad> loads = this.targets.all()
-			.stream()
-			.map(GatewayTarget::own)
-			.filter((load) -> load.requests() > 0)
-			.toList();
 		List<ServiceWait> waits = this.callers.services().stream().map((service) -> wait(service, now)).toList();
 		return new EntryReport(this.settings.vm(), this.settings.region(), this.settings.dataCentre(),
-				this.settings.listen().front().orElseThrow().toString(), forwardAddress().toString(), isReady(), loads,
-				waits);
+				this.settings.listen().front().orElseThrow().toString(), forwardAddress().toString(), isReady(), waits);
 	}
 
 	private ServiceWait wait(DeclaredService service, long now) {
-		return new ServiceWait(service.name(), this.targets.waitMillis(service, now));
+		long millis = this.targets.waitMillis(service, now);
+		long rounded = (millis + WAIT_STEP_MILLIS - 1) / WAIT_STEP_MILLIS * WAIT_STEP_MILLIS;
+		return new ServiceWait(service.name(), (millis < 0) ? -1 : rounded);
 	}
 
 	@Override
@@ -200,6 +201,16 @@
 		return true;
 	}
 
+	@Override
+	public List<FlightLoad> loads() {
+		return this.targets.all().stream().map(GatewayTarget::own).filter((load) -> load.requests() > 0).toList();
+	}
+
+	@Override
+	public void otherLoadsChanged(List<FlightLoad> loads) {
+		this.targets.setOtherLoads(loads, System.nanoTime());
+	}
+
 	@Override
 	public void entriesChanged(List<EntryReport> entries) {
 		this.remotes.update(entries);
@@ -210,10 +221,6 @@
 			.filter((entry) -> entry.region().equals(this.settings.region()))
 			.forEach((entry) -> near.add(entry.vm()));
 		this.targets.setRegionEntries(near);
-		this.targets.setOtherLoads(entries.stream()
-			.filter((entry) -> near.contains(entry.vm()) && !entry.vm().equals(self))
-			.flatMap((entry) -> entry.loads().stream())
-			.toList(), System.nanoTime());
 		this.budget.setVmCount(Math.max(1, entries.size()));
 	}
 
--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/GatewayContext.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/GatewayContext.java
@@ -22,8 +22,9 @@
  * @param budget bounds repeats
  * @param journal logs and counts what becomes of requests
  * @param random picks services by weight
+ * @param largeLoad told when a request that weighs much was sent to a target
  */
 record GatewayContext(EventLoop loop, RegionId region, GatewayProtocol protocol, GatewayTargets targets,
 		RemoteEntries remotes, TargetClient client, RetryBudget budget, RequestJournal journal,
-		UniformRandomProvider random) {
+		UniformRandomProvider random, Runnable largeLoad) {
 }
--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/RoutedRequest.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/RoutedRequest.java
@@ -55,6 +55,12 @@
 	 */
 	private static final double PATIENCE_PART = 1.5;
 
+	/**
+	 * From so many unread prompt tokens on, other VMs are told at once: an engine reads
+	 * them in the time in which several more requests come.
+	 */
+	private static final long LARGE_TOKENS = 4_000;
+
 	private static final long MIN_RETRY_AFTER_MILLIS = 250;
 
 	private static final long MAX_RETRY_AFTER_MILLIS = 3_000;
@@ -175,6 +181,9 @@
 				choice.runnerUp(), "leftMillis", leftMillis());
 		this.attempt = RoutedAttempt.atTarget(this, this.context.targets().begin(choice, this.shape, now), choice);
 		this.attempt.start();
+		if (choice.unreadTokens() >= LARGE_TOKENS) {
+			this.context.largeLoad().run();
+		}
 	}
 
 	private void sendAway(RemoteEntries.RemoteChoice choice, long expectedMillis, long localMillis) {
@@ -309,8 +318,8 @@
 			.log(outcome, "request", id(), "route", this.route.name(), "service", service(), "reason",
 					reason.isEmpty() ? null : reason, "version", this.version, "at",
 					(this.attempt != null) ? this.attempt.place() : null, "sends", this.sends, "verdict", this.verdict,
-					"millis", waitedMillis(), "firstPartMillis",
-					this.pace.firstPartMillis(), "longestPauseMillis", this.pace.longestPauseMillis(), "leftMillis", this.leftAtArrivalMillis, "tokens",
+					"millis", waitedMillis(), "firstPartMillis", this.pace.firstPartMillis(), "longestPauseMillis",
+					this.pace.longestPauseMillis(), "leftMillis", this.leftAtArrivalMillis, "tokens",
 					this.shape.promptTokens(), "forwarded", this.forwarded);
 	}
 
--- a/vanillatrestle-wire/src/main/java/org/vanillatrestle/wire/FleetCodec.java
+++ b/vanillatrestle-wire/src/main/java/org/vanillatrestle/wire/FleetCodec.java
@@ -1,5 +1,7 @@
 package org.vanillatrestle.wire;
 
+import java.util.List;
+
 import com.google.protobuf.InvalidProtocolBufferException;
 import org.vanillatrestle.DataCentreId;
 import org.vanillatrestle.RegionId;
@@ -14,9 +16,11 @@
 import org.vanillatrestle.internal.target.TargetAddress;
 import org.vanillatrestle.wire.generated.fleet.ControlBeat;
 import org.vanillatrestle.wire.generated.fleet.EntryBeat;
+import org.vanillatrestle.wire.generated.fleet.EntryLoads;
 import org.vanillatrestle.wire.generated.fleet.EntryRow;
 import org.vanillatrestle.wire.generated.fleet.FleetMessage;
 import org.vanillatrestle.wire.generated.fleet.FlightLoadRow;
+import org.vanillatrestle.wire.generated.fleet.RegionLoads;
 import org.vanillatrestle.wire.generated.fleet.ServiceWaitRow;
 import org.vanillatrestle.wire.generated.fleet.TargetConditionCode;
 import org.vanillatrestle.wire.generated.fleet.TargetReportRow;
@@ -40,8 +44,20 @@
 	public static byte[] encode(FleetNews news) {
 		FleetMessage.Builder message = FleetMessage.newBuilder();
 		if (news instanceof FleetNews.EntryBeat beat) {
-			message.setEntryBeat(
-					EntryBeat.newBuilder().setEntry(row(beat.entry())).setDeclaredIndex(beat.declaredIndex()));
+			message.setEntryBeat(EntryBeat.newBuilder()
+				.setEntry(row(beat.entry()))
+				.setDeclaredIndex(beat.declaredIndex())
+				.setFollows(beat.follows()));
+		}
+		else if (news instanceof FleetNews.EntryLoads told) {
+			EntryLoads.Builder row = EntryLoads.newBuilder().setFollows(told.follows()).setUrgent(told.urgent());
+			told.loads().forEach((load) -> row.addLoads(row(load)));
+			message.setEntryLoads(row);
+		}
+		else if (news instanceof FleetNews.RegionLoads told) {
+			RegionLoads.Builder row = RegionLoads.newBuilder();
+			told.loads().forEach((load) -> row.addLoads(row(load)));
+			message.setRegionLoads(row);
 		}
 		else if (news instanceof FleetNews.ControlBeat beat) {
 			ControlBeat.Builder row = ControlBeat.newBuilder()
@@ -72,7 +88,10 @@
 			FleetMessage message = FleetMessage.parseFrom(bytes);
 			return switch (message.getMessageCase()) {
 				case ENTRY_BEAT -> new FleetNews.EntryBeat(report(message.getEntryBeat().getEntry()),
-						message.getEntryBeat().getDeclaredIndex());
+						message.getEntryBeat().getDeclaredIndex(), message.getEntryBeat().getFollows());
+				case ENTRY_LOADS -> new FleetNews.EntryLoads(loads(message.getEntryLoads().getLoadsList()),
+						message.getEntryLoads().getFollows(), message.getEntryLoads().getUrgent());
+				case REGION_LOADS -> new FleetNews.RegionLoads(loads(message.getRegionLoads().getLoadsList()));
 				case CONTROL_BEAT -> controlBeat(message.getControlBeat());
 				case TARGET_REPORTS -> new FleetNews.Targets(
 						message.getTargetReports().getReportsList().stream().map(FleetCodec::report).toList());
@@ -98,26 +117,31 @@
 			.setFrontAddress(entry.frontAddress())
 			.setForwardAddress(entry.forwardAddress())
 			.setReady(entry.ready());
-		entry.loads()
-			.forEach((load) -> row.addLoads(FlightLoadRow.newBuilder()
-				.setTarget(load.target().value())
-				.setRequests(load.requests())
-				.setUnreadTokens(load.unreadTokens())
-				.setHeldTokens(load.heldTokens())));
 		entry.waits()
 			.forEach((wait) -> row.addWaits(
 					ServiceWaitRow.newBuilder().setService(wait.service().value()).setWaitMillis(wait.waitMillis())));
 		return row.build();
 	}
 
+	private static FlightLoadRow row(FlightLoad load) {
+		return FlightLoadRow.newBuilder()
+			.setTarget(load.target().value())
+			.setRequests(load.requests())
+			.setUnreadTokens(load.unreadTokens())
+			.setHeldTokens(load.heldTokens())
+			.build();
+	}
+
+	private static List<FlightLoad> loads(List<FlightLoadRow> rows) {
+		return rows.stream()
+			.map((row) -> new FlightLoad(new TargetId(row.getTarget()), row.getRequests(), row.getUnreadTokens(),
+					row.getHeldTokens()))
+			.toList();
+	}
+
 	private static EntryReport report(EntryRow row) {
 		return new EntryReport(new VmId(row.getVm()), new RegionId(row.getRegion()),
 				new DataCentreId(row.getDataCentre()), row.getFrontAddress(), row.getForwardAddress(), row.getReady(),
-				row.getLoadsList()
-					.stream()
-					.map((load) -> new FlightLoad(new TargetId(load.getTarget()), load.getRequests(),
-							load.getUnreadTokens(), load.getHeldTokens()))
-					.toList(),
 				row.getWaitsList()
 					.stream()
 					.map((wait) -> new ServiceWait(new ServiceName(wait.getService()), wait.getWaitMillis()))
--- a/vanillatrestle-wire/src/main/java/org/vanillatrestle/wire/FleetNews.java
+++ b/vanillatrestle-wire/src/main/java/org/vanillatrestle/wire/FleetNews.java
@@ -4,6 +4,7 @@
 
 import org.vanillatrestle.internal.declaration.DeclaredState;
 import org.vanillatrestle.internal.fleet.EntryReport;
+import org.vanillatrestle.internal.fleet.FlightLoad;
 import org.vanillatrestle.internal.fleet.TargetReport;
 
 /**
@@ -18,8 +19,38 @@
 	 *
 	 * @param entry the VM
 	 * @param declaredIndex the index of its declared state
+	 * @param follows whether the control VM is to tell of entry VMs and repeat its
+	 * targets
 	 */
-	record EntryBeat(EntryReport entry, long declaredIndex) implements FleetNews {
+	record EntryBeat(EntryReport entry, long declaredIndex, boolean follows) implements FleetNews {
+	}
+
+	/**
+	 * What an entry VM has in flight.
+	 *
+	 * @param loads the loads; targets not named have none
+	 * @param follows whether the control VM is to tell what the others have in flight
+	 * @param urgent whether the others should know at once
+	 */
+	record EntryLoads(List<FlightLoad> loads, boolean follows, boolean urgent) implements FleetNews {
+
+		public EntryLoads {
+			loads = List.copyOf(loads);
+		}
+
+	}
+
+	/**
+	 * What all other entry VMs of a region have in flight.
+	 *
+	 * @param loads the loads; targets not named have none
+	 */
+	record RegionLoads(List<FlightLoad> loads) implements FleetNews {
+
+		public RegionLoads {
+			loads = List.copyOf(loads);
+		}
+
 	}
 
 	/**
@@ -27,7 +58,7 @@
 	 *
 	 * @param declaredIndex the index of its declared state
 	 * @param controlAddresses the control VMs it knows, as {@code host:port}
-	 * @param entries the entry VMs heard of lately
+	 * @param entries the entry VMs heard of lately, or those of them that changed
 	 */
 	record ControlBeat(long declaredIndex, List<String> controlAddresses,
 			List<EntryReport> entries) implements FleetNews {
