Bound how much targets read, learn slow ones, and send the declared state once

Reading share. The gateway did not see it: its reading speed was learned from prompts that overtook others by priority (130 tokens a ms believed, waits of 0.5 s where 70,000 tokens were queued). Change: the speed is learned from prompts that found no queue, and for each target; each VM counts the tokens it sent to a target of late, and beyond a share by rank (1.2, 1, 0.8) a request goes elsewhere or is refused at once; long prompts stay away from streams only at targets that were seen to pause for too long. The test that kept every long prompt away from running streams is replaced by one for slow targets: at the others a trace shows no pause (0 of 150).

State pushes. From 13.2 s on the configuration grows by many routes; six control VMs sent it to each of 60 entry VMs and again each 0.5 s as long as an entry VM was behind, which filled links of 7 Mbit/s. Change: documents travel packed; the nearest control VM sends, the others wait for their turn of 1 to 3 s, and no copy is repeated for 2 s.

--- a/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/gateway/Choice.java
+++ b/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/gateway/Choice.java
@@ -11,10 +11,12 @@
  * @param target the target
  * @param waitMillis the estimated time until the answer begins
  * @param unreadTokens the prompt tokens that the target has to read
+ * @param readingShare how much of the time the target reads prompts, by the tokens sent
+ * to it of late
  * @param load what all VMs together had in flight at the target
  * @param loadAgeMillis how old the part of the other VMs was, -1 if none ever told
  * @param runnerUp the second choice, {@code null} if there was none
  */
-public record Choice(GatewayTarget target, long waitMillis, long unreadTokens, FlightLoad load, long loadAgeMillis,
-		TargetId runnerUp) {
+public record Choice(GatewayTarget target, long waitMillis, long unreadTokens, double readingShare, FlightLoad load,
+		long loadAgeMillis, TargetId runnerUp) {
 }
--- a/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/gateway/Flight.java
+++ b/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/gateway/Flight.java
@@ -19,6 +19,8 @@
 
 	private final long queuedTokens;
 
+	private final long unreadTokens;
+
 	private FlightLoad load;
 
 	private boolean answering;
@@ -30,7 +32,8 @@
 		this.speed = speed;
 		this.shape = shape;
 		this.sentNanos = nowNanos;
-		this.queuedTokens = target.total().unreadTokens() + unreadTokens;
+		this.queuedTokens = target.total().unreadTokens();
+		this.unreadTokens = unreadTokens;
 		this.load = new FlightLoad(target.id(), 1, unreadTokens, unreadTokens + shape.maxOutputTokens());
 		target.add(this.load);
 	}
@@ -50,13 +53,24 @@
 		this.answering = true;
 		double millis = (nowNanos - this.sentNanos) / 1e6;
 		if (this.shape.service().engine().isPresent()) {
-			this.speed.promptRead(this.queuedTokens, millis);
+			this.speed.promptRead(this.unreadTokens, this.queuedTokens, millis, this.target.pace());
 		}
 		FlightLoad read = new FlightLoad(this.target.id(), 0, this.load.unreadTokens(), 0);
 		this.target.remove(read);
 		this.load = this.load.minus(read);
 	}
 
+	/**
+	 * The stream went on after a pause.
+	 * @param millis the pause
+	 * @param nowNanos the monotonic time
+	 */
+	public void paused(long millis, long nowNanos) {
+		if (!this.ended) {
+			this.target.pace().paused(millis, nowNanos);
+		}
+	}
+
 	/**
 	 * The answer is whole, whatever its status.
 	 * @param nowNanos the monotonic time
--- a/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/gateway/GatewayTarget.java
+++ b/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/gateway/GatewayTarget.java
@@ -21,6 +21,10 @@
 
 	private TargetHealth health = new TargetHealth();
 
+	private TargetPace pace = new TargetPace();
+
+	private final ReadingRate reading = new ReadingRate();
+
 	private TargetReport report;
 
 	private long coldUntilNanos;
@@ -53,6 +57,7 @@
 		if (restarted) {
 			this.prefixes.clear();
 			this.health = new TargetHealth();
+			this.pace = new TargetPace();
 		}
 		this.report = newer;
 		this.coldUntilNanos = nowNanos + TimeUnit.MILLISECONDS.toNanos(newer.coldLeftMillis());
@@ -88,6 +93,10 @@
 		return this.health;
 	}
 
+	TargetPace pace() {
+		return this.pace;
+	}
+
 	ColdGate coldGate() {
 		return this.coldGate;
 	}
@@ -96,14 +105,46 @@
 		return this.prefixes;
 	}
 
+	ReadingRate reading() {
+		return this.reading;
+	}
+
 	/**
-	 * What this VM has in flight.
+	 * What this VM has in flight, without the tokens sent of late.
 	 * @return the load
 	 */
 	public FlightLoad own() {
 		return this.own;
 	}
 
+	/**
+	 * What this VM has in flight, and has sent and seen of late.
+	 * @param nowNanos the monotonic time
+	 * @return the load
+	 */
+	public FlightLoad own(long nowNanos) {
+		return new FlightLoad(this.own.target(), this.own.requests(), this.own.unreadTokens(), this.own.heldTokens(),
+				Math.round(this.reading.tokensPerSecond(nowNanos)), this.pace.longestPauseMillis(nowNanos));
+	}
+
+	/**
+	 * The longest pause of a stream of late that any VM saw, as far as known.
+	 * @param nowNanos the monotonic time
+	 * @return the pause, 0 if there was none
+	 */
+	long longestPauseMillis(long nowNanos) {
+		return Math.max(this.pace.longestPauseMillis(nowNanos), this.others.longestPauseMillis());
+	}
+
+	/**
+	 * The prompt tokens that all VMs together sent of late, as far as known.
+	 * @param nowNanos the monotonic time
+	 * @return the tokens by the second
+	 */
+	double readTokensPerSecond(long nowNanos) {
+		return this.reading.tokensPerSecond(nowNanos) + this.others.readTokensPerSecond();
+	}
+
 	void setOthers(FlightLoad load) {
 		this.others = load;
 	}
@@ -117,7 +158,8 @@
 	}
 
 	/**
-	 * What all VMs together have in flight, as far as known.
+	 * What all VMs together have in flight, as far as known, without the tokens sent of
+	 * late.
 	 * @return the load
 	 */
 	public FlightLoad total() {
--- a/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/gateway/GatewayTargets.java
+++ b/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/gateway/GatewayTargets.java
@@ -63,15 +63,22 @@
 	private static final double WORK_WEIGHT = 1;
 
 	/**
-	 * A prompt so long is read in many steps, in each of which all running streams wait.
+	 * The part of the longest pause wanted for which a target that reads slowly may read
+	 * prompts without harm to its running streams.
 	 */
-	private static final long LONG_PROMPT_TOKENS = 16_000;
+	private static final double HARMLESS_READING_PART = 0.5;
 
 	/**
-	 * The part of a long prompt's reading time that counts for each request that it holds
-	 * up.
+	 * The part of the longest pause wanted from which on a target counts as one that
+	 * reads slowly.
 	 */
-	private static final double HELD_UP_PART = 0.25;
+	private static final double SLOW_READER_PART = 0.95;
+
+	/**
+	 * What counts against a target that reads for longer than the request allows: more
+	 * than any wait, so that it is chosen only where all others do so too.
+	 */
+	private static final double TOO_BUSY_MILLIS = 100_000;
 
 	private static final long NANOS_PER_MILLI = 1_000_000;
 
@@ -192,7 +199,7 @@
 			long unread = Math.max(0, shape.promptTokens() - cached);
 			double wait = waitMillis(target, shape.service(), unread);
 			if (wait >= 0 && hasMemory(target, shape, unread)) {
-				double cost = cost(shape, wait, unread, target.total().requests())
+				double cost = cost(shape, wait, unread, target, nowNanos)
 						/ Math.max(0.1, 1 - target.health().failedShare());
 				candidates.add(new Candidate(target, wait, unread, cost));
 			}
@@ -200,13 +207,31 @@
 		return best(candidates, nowNanos);
 	}
 
-	private double cost(RequestShape shape, double wait, long unread, int running) {
+	private double cost(RequestShape shape, double wait, long unread, GatewayTarget target, long nowNanos) {
 		if (shape.service().engine().isEmpty()) {
 			return wait;
 		}
-		double work = speed(shape.service().name()).readMillis(unread);
-		double heldUp = (unread > LONG_PROMPT_TOKENS) ? HELD_UP_PART * running * work : 0;
-		return wait + WORK_WEIGHT * work + heldUp;
+		ServiceSpeed speed = speed(shape.service().name());
+		double work = speed.readMillis(unread, target.pace());
+		double tooBusy = (readingShare(target, nowNanos) > shape.maxReadingShare()) ? TOO_BUSY_MILLIS : 0;
+		return wait + WORK_WEIGHT * work + tooBusy + heldUpMillis(shape, speed, unread, target, nowNanos);
+	}
+
+	// a stream's next event takes several steps, each of which reads a piece of the
+	// prompts
+	// that wait; at a target that reads slowly, so many steps take longer than streams
+	// may
+	// pause
+	private static double heldUpMillis(RequestShape shape, ServiceSpeed speed, long unread, GatewayTarget target,
+			long nowNanos) {
+		if (target.longestPauseMillis(nowNanos) < SLOW_READER_PART * shape.pauseObjectiveMillis()) {
+			return 0;
+		}
+		FlightLoad load = target.total();
+		double harmless = HARMLESS_READING_PART * shape.pauseObjectiveMillis();
+		double before = Math.max(0, speed.readMillis(load.unreadTokens(), target.pace()) - harmless);
+		double after = Math.max(0, speed.readMillis(load.unreadTokens() + unread, target.pace()) - harmless);
+		return load.requests() * (after - before);
 	}
 
 	private Optional<Choice> best(List<Candidate> candidates, long nowNanos) {
@@ -221,7 +246,12 @@
 		TargetId runnerUp = (candidates.size() > 1) ? candidates.get((picked == 0) ? 1 : 0).target().id() : null;
 		long ageMillis = (this.othersToldNanos != 0) ? (nowNanos - this.othersToldNanos) / NANOS_PER_MILLI : -1;
 		return Optional.of(new Choice(best.target(), Math.round(best.expectedMillis()), best.unread(),
-				best.target().total(), ageMillis, runnerUp));
+				readingShare(best.target(), nowNanos), best.target().total(), ageMillis, runnerUp));
+	}
+
+	// by the tokens sent to it of late
+	private double readingShare(GatewayTarget target, long nowNanos) {
+		return target.readTokensPerSecond(nowNanos) / speed(target.report().service()).tokensPerSecond(target.pace());
 	}
 
 	// requests with the same shared parts go to the same target from all VMs, so that the
@@ -272,8 +302,8 @@
 		FlightLoad load = target.total();
 		int slots = Math.max(1, target.report().slots());
 		if (service.engine().isPresent()) {
-			return (load.requests() >= slots) ? -1
-					: speed.readMillis(load.unreadTokens() + unreadTokens) + MILLIS_PER_RUNNING * load.requests();
+			return (load.requests() >= slots) ? -1 : speed.readMillis(load.unreadTokens() + unreadTokens, target.pace())
+					+ MILLIS_PER_RUNNING * load.requests();
 		}
 		if (load.requests() >= PLAIN_REQUESTS_PER_SLOT * slots) {
 			return -1;
@@ -302,6 +332,7 @@
 	public Flight begin(Choice choice, RequestShape shape, long nowNanos) {
 		GatewayTarget target = choice.target();
 		target.coldGate().sent(nowNanos);
+		target.reading().sent(choice.unreadTokens(), nowNanos);
 		Flight flight = new Flight(target, speed(shape.service().name()), shape, choice.unreadTokens(), nowNanos);
 		shape.service()
 			.engine()
@@ -324,14 +355,13 @@
 	}
 
 	/**
-	 * Estimates how soon one more request of a service could be served.
+	 * Estimates how one more request of a service would fare.
 	 * @param service the service
 	 * @param nowNanos the monotonic time
-	 * @return the time until its answer begins, -1 if no target has room
+	 * @return the choice for a request without a prompt, empty if no target has room
 	 */
-	public long waitMillis(DeclaredService service, long nowNanos) {
-		RequestShape typical = new RequestShape(service, 0, 0, List.of());
-		return choose(typical, Set.of(), nowNanos).map(Choice::waitMillis).orElse(-1L);
+	public Optional<Choice> outlook(DeclaredService service, long nowNanos) {
+		return choose(new RequestShape(service, 0, 0, List.of(), Long.MAX_VALUE, Double.MAX_VALUE), Set.of(), nowNanos);
 	}
 
 	/**
--- a/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/gateway/ServiceSpeed.java
+++ b/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/gateway/ServiceSpeed.java
@@ -20,10 +20,14 @@
 
 	private static final int MIN_TOKENS = 2_000;
 
+	private static final double MAX_QUEUED_PART = 0.25;
+
 	private static final double SLOWEST_TOKENS_PER_MILLI = 5;
 
 	private static final double FASTEST_TOKENS_PER_MILLI = 500;
 
+	private static final double MILLIS_PER_SECOND = 1_000;
+
 	private double plainMillis = FIRST_PLAIN_MILLIS;
 
 	private double tokensPerMilli = FIRST_TOKENS_PER_MILLI;
@@ -32,15 +36,28 @@
 		this.plainMillis += NEW_SAMPLE_WEIGHT * (millis - this.plainMillis);
 	}
 
-	void promptRead(long tokens, double millis) {
-		if (tokens < MIN_TOKENS) {
+	/**
+	 * Takes the reading of a prompt by a target. A prompt behind others tells nothing,
+	 * since what is more urgent overtakes.
+	 * @param tokens the tokens read
+	 * @param queuedTokens the tokens of other prompts that waited when it was sent
+	 * @param millis how long it took
+	 * @param pace learns how the target compares with the others
+	 */
+	void promptRead(long tokens, long queuedTokens, double millis, TargetPace pace) {
+		if (tokens < MIN_TOKENS || queuedTokens > MAX_QUEUED_PART * tokens) {
 			return;
 		}
 		double rate = tokens / Math.max(1, millis - BASE_MILLIS);
 		double bounded = Math.max(SLOWEST_TOKENS_PER_MILLI, Math.min(FASTEST_TOKENS_PER_MILLI, rate));
+		pace.promptRead(bounded / this.tokensPerMilli);
 		this.tokensPerMilli += NEW_SAMPLE_WEIGHT * (bounded - this.tokensPerMilli);
 	}
 
+	double tokensPerSecond(TargetPace pace) {
+		return MILLIS_PER_SECOND * this.tokensPerMilli * pace.readingFactor();
+	}
+
 	double plainMillis() {
 		return this.plainMillis;
 	}
@@ -49,4 +66,8 @@
 		return BASE_MILLIS + tokens / this.tokensPerMilli;
 	}
 
+	double readMillis(long tokens, TargetPace pace) {
+		return BASE_MILLIS + tokens / (this.tokensPerMilli * pace.readingFactor());
+	}
+
 }
--- a/vanillatrestle-core/src/test/java/org/vanillatrestle/internal/fleet/EntryNewsTests.java
+++ b/vanillatrestle-core/src/test/java/org/vanillatrestle/internal/fleet/EntryNewsTests.java
@@ -38,7 +38,7 @@
 
 	private static EntryReport report(String vm, boolean ready, long waitMillis) {
 		return new EntryReport(new VmId(vm), new RegionId("koshi"), new DataCentreId("koshi-a"), "10.0.0.1:80",
-				"10.0.0.1:81", ready, List.of(new ServiceWait(new ServiceName("model"), waitMillis)));
+				"10.0.0.1:81", ready, List.of(new ServiceWait(new ServiceName("model"), waitMillis, 0)));
 	}
 
 }
--- /dev/null
+++ b/vanillatrestle-core/src/test/java/org/vanillatrestle/internal/fleet/StatePushesTests.java
@@ -0,0 +1,65 @@
+package org.vanillatrestle.internal.fleet;
+
+import java.util.concurrent.TimeUnit;
+
+import org.junit.jupiter.api.Test;
+import org.vanillatrestle.VmId;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class StatePushesTests {
+
+	private static final VmId ENTRY = new VmId("edge-1");
+
+	private final StatePushes pushes = new StatePushes();
+
+	@Test
+	void shouldSendAtOnceFromTheNearestControlVmOnly() {
+		this.pushes.changed(5, 0);
+		assertThat(this.pushes.isDue(ENTRY, 0, 4, 0)).isTrue();
+		assertThat(this.pushes.isDue(new VmId("edge-2"), 1, 4, millis(500))).isFalse();
+		assertThat(this.pushes.isDue(new VmId("edge-3"), 5, 4, millis(2_500))).isFalse();
+	}
+
+	@Test
+	void shouldSendNothingToAVmThatIsUpToDate() {
+		this.pushes.changed(5, 0);
+		assertThat(this.pushes.isDue(ENTRY, 0, 5, millis(9_000))).isFalse();
+	}
+
+	@Test
+	void shouldStepInForNearerControlVmsWithinTheTimeInWhichAChangeIsToBeInForce() {
+		this.pushes.changed(5, 0);
+		assertThat(this.pushes.isDue(new VmId("edge-2"), 1, 4, millis(1_000))).isTrue();
+		assertThat(this.pushes.isDue(new VmId("edge-3"), 5, 4, millis(3_000))).isTrue();
+	}
+
+	@Test
+	void shouldNotRepeatACopyThatMayBeOnItsWay() {
+		this.pushes.changed(5, 0);
+		this.pushes.isDue(ENTRY, 0, 4, 0);
+		assertThat(this.pushes.isDue(ENTRY, 0, 4, millis(1_500))).isFalse();
+		assertThat(this.pushes.isDue(ENTRY, 0, 4, millis(2_000))).isTrue();
+	}
+
+	@Test
+	void shouldSendANewerStateAtOnce() {
+		this.pushes.changed(5, 0);
+		this.pushes.isDue(ENTRY, 0, 4, 0);
+		this.pushes.changed(6, millis(100));
+		assertThat(this.pushes.isDue(ENTRY, 0, 4, millis(100))).isTrue();
+	}
+
+	@Test
+	void shouldSendAgainOverANewLink() {
+		this.pushes.changed(5, 0);
+		this.pushes.isDue(ENTRY, 0, 0, 0);
+		this.pushes.forget(ENTRY);
+		assertThat(this.pushes.isDue(ENTRY, 0, 0, millis(100))).isTrue();
+	}
+
+	private static long millis(long millis) {
+		return TimeUnit.MILLISECONDS.toNanos(millis);
+	}
+
+}
--- a/vanillatrestle-core/src/test/java/org/vanillatrestle/internal/gateway/GatewayTargetsTests.java
+++ b/vanillatrestle-core/src/test/java/org/vanillatrestle/internal/gateway/GatewayTargetsTests.java
@@ -105,16 +105,77 @@
 	}
 
 	@Test
-	void shouldKeepALongPromptAwayFromRunningStreams() {
+	void shouldKeepLongPromptsAwayFromStreamsOfATargetThatReadsSlowly() {
 		add("a", MODEL, TargetCondition.READY, 0);
 		add("b", MODEL, TargetCondition.READY, 0);
-		this.targets.setOtherLoads(
-				List.of(new FlightLoad(new TargetId("a"), 3, 0, 0), new FlightLoad(new TargetId("b"), 1, 12_000, 0)),
-				1);
+		FlightLoad slow = new FlightLoad(new TargetId("a"), 3, 0, 0, 0, 870);
+		FlightLoad fast = new FlightLoad(new TargetId("b"), 3, 4_000, 0, 0, 650);
+		this.targets.setOtherLoads(List.of(slow, fast), 1);
 		assertThat(choose(MODEL, 1_000).orElseThrow().target().id().value()).isEqualTo("a");
 		assertThat(choose(MODEL, 40_000).orElseThrow().target().id().value()).isEqualTo("b");
 	}
 
+	@Test
+	void shouldLearnFromItsOwnStreamsThatATargetReadsSlowly() {
+		add("a", MODEL, TargetCondition.READY, 0);
+		RequestShape shape = shape(MODEL, 400, "p");
+		Flight flight = this.targets.begin(choose(shape).orElseThrow(), shape, 0);
+		flight.answering(1);
+		flight.paused(870, 2);
+		assertThat(flight.target().own(3).longestPauseMillis()).isEqualTo(870);
+	}
+
+	@Test
+	void shouldNotLearnTheReadingSpeedFromAPromptThatOvertookOthers() {
+		add("a", MODEL, TargetCondition.READY, 0);
+		RequestShape shape = shape(MODEL, 4_000, "p");
+		this.targets.setOtherLoads(List.of(new FlightLoad(new TargetId("a"), 2, 60_000, 0)), 0);
+		long before = this.targets.readMillis(shape(MODEL, 40_000, "q"));
+		for (int i = 0; i < 20; i++) {
+			Flight flight = this.targets.begin(choose(shape).orElseThrow(), shape, 0);
+			flight.answering(TimeUnit.MILLISECONDS.toNanos(100));
+			flight.answered(TimeUnit.MILLISECONDS.toNanos(200));
+		}
+		assertThat(this.targets.readMillis(shape(MODEL, 40_000, "q"))).isEqualTo(before);
+	}
+
+	@Test
+	void shouldAvoidATargetThatReadsAllTheTimeAndTellSoWhereAllDo() {
+		add("a", MODEL, TargetCondition.READY, 0);
+		add("b", MODEL, TargetCondition.READY, 0);
+		RequestShape shape = shape(MODEL, 400, "p");
+		FlightLoad reading = new FlightLoad(new TargetId("a"), 1, 0, 0, 36_000, 0);
+		this.targets.setOtherLoads(List.of(reading), 1);
+		Choice idle = this.targets.choose(shape, Set.of(), 1).orElseThrow();
+		assertThat(idle.target().id().value()).isEqualTo("b");
+		assertThat(idle.readingShare()).isLessThan(0.1);
+		this.targets.setOtherLoads(List.of(reading, new FlightLoad(new TargetId("b"), 1, 0, 0, 38_000, 0)), 1);
+		assertThat(this.targets.choose(shape, Set.of(), 1).orElseThrow().readingShare()).isBetween(0.8, 1.0);
+	}
+
+	@Test
+	void shouldCountWhatItSentToBeReadOfLate() {
+		add("a", MODEL, TargetCondition.READY, 0);
+		RequestShape shape = shape(MODEL, 30_000, "p");
+		this.targets.begin(choose(shape).orElseThrow(), shape, 0).answered(1);
+		RequestShape next = shape(MODEL, 400, "q");
+		assertThat(this.targets.choose(next, Set.of(), 2).orElseThrow().readingShare()).isBetween(0.4, 0.6);
+		assertThat(this.targets.choose(next, Set.of(), LATER).orElseThrow().readingShare()).isLessThan(0.01);
+	}
+
+	@Test
+	void shouldExpectASlowTargetToReadLonger() {
+		add("a", MODEL, TargetCondition.READY, 0);
+		add("b", MODEL, TargetCondition.READY, 0);
+		GatewayTarget slow = this.targets.all().iterator().next();
+		for (int i = 0; i < 20; i++) {
+			slow.pace().promptRead(0.5);
+		}
+		for (int i = 0; i < 20; i++) {
+			assertThat(choose(MODEL, 4_000).orElseThrow().target()).isNotSameAs(slow);
+		}
+	}
+
 	@Test
 	void shouldCountWhatOtherVmsHaveInFlight() {
 		add("a", MODEL, TargetCondition.READY, 0);
@@ -216,7 +277,7 @@
 		for (String part : parts) {
 			prompt.add(new PromptPart(part, tokens / parts.length));
 		}
-		return new RequestShape(service, tokens, 0, prompt);
+		return new RequestShape(service, tokens, 0, prompt, 800, 0.8);
 	}
 
 	private void add(String name, DeclaredService service, TargetCondition condition, long coldMillis) {
--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/fleet/ControlFleet.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/fleet/ControlFleet.java
@@ -18,6 +18,7 @@
 import org.vanillatrestle.internal.declaration.DeclaredState;
 import org.vanillatrestle.internal.fleet.EntryNews;
 import org.vanillatrestle.internal.fleet.EntryReport;
+import org.vanillatrestle.internal.fleet.StatePushes;
 import org.vanillatrestle.internal.fleet.TargetReport;
 import org.vanillatrestle.internal.fleet.TargetTable;
 import org.vanillatrestle.wire.FleetNews;
@@ -44,6 +45,12 @@
 	 */
 	private static final int COMPLETE_BEATS = 4;
 
+	/**
+	 * The control VMs that tell an entry VM of the others; a second one covers the loss
+	 * of the first.
+	 */
+	private static final int FOLLOWED = 2;
+
 	private final FleetLinks links;
 
 	private final EventLoop loop;
@@ -56,7 +63,11 @@
 
 	private final Set<VmId> controlVms = new HashSet<>();
 
-	private final Map<VmId, Long> stateSentNanos = new HashMap<>();
+	private final StatePushes statePushes = new StatePushes();
+
+	private final Map<VmId, Integer> ranks = new HashMap<>();
+
+	private byte[] encodedState = new byte[0];
 
 	private final LoadExchange loads;
 
@@ -145,8 +156,16 @@
 		this.state = changed;
 		EventLog.write(EventKind.DECLARED, "version", changed.version(), "index", changed.index(), "evacuated",
 				changed.evacuated());
-		byte[] encoded = FleetLinks.encode(new FleetNews.Declared(changed));
-		this.links.allPeers().forEach((peer) -> this.links.send(peer.vm(), encoded));
+		this.encodedState = FleetLinks.encode(new FleetNews.Declared(changed));
+		long now = System.nanoTime();
+		this.statePushes.changed(changed.index(), now);
+		this.ranks.forEach((vm, rank) -> pushState(vm, rank, 0));
+	}
+
+	private void pushState(VmId vm, int rank, long knownIndex) {
+		if (this.statePushes.isDue(vm, rank, knownIndex, System.nanoTime())) {
+			this.links.send(vm, this.encodedState);
+		}
 	}
 
 	/**
@@ -193,14 +212,12 @@
 			this.replica.setControlVms(this.controlVms);
 		}
 		tellTargets(this.targets.all(System.nanoTime()), (other) -> other.vm().equals(peer.vm()));
-		if (this.state.isDeclared()) {
-			this.links.send(peer.vm(), FleetLinks.encode(new FleetNews.Declared(this.state)));
-		}
 	}
 
 	@Override
 	public void disconnected(PeerIdentity peer) {
-		this.stateSentNanos.remove(peer.vm());
+		this.statePushes.forget(peer.vm());
+		this.ranks.remove(peer.vm());
 		this.loads.forget(peer.vm());
 	}
 
@@ -208,10 +225,9 @@
 	public void onNews(VmId sender, FleetNews news) {
 		if (news instanceof FleetNews.EntryBeat beat) {
 			this.entries.heard(beat.entry(), System.nanoTime());
-			this.followers.told(sender, beat.follows(), System.nanoTime());
-			if (beat.declaredIndex() < this.state.index()) {
-				repeatState(sender);
-			}
+			this.followers.told(sender, beat.rank() < FOLLOWED, System.nanoTime());
+			this.ranks.put(sender, beat.rank());
+			pushState(sender, beat.rank(), beat.declaredIndex());
 		}
 		else if (news instanceof FleetNews.EntryLoads told) {
 			this.links.peer(sender).ifPresent((peer) -> this.loads.told(peer, told));
@@ -225,15 +241,6 @@
 		}
 	}
 
-	private void repeatState(VmId behind) {
-		long now = System.nanoTime();
-		Long sent = this.stateSentNanos.get(behind);
-		if (sent == null || now - sent > TimeUnit.MILLISECONDS.toNanos(2 * BEAT_MILLIS)) {
-			this.stateSentNanos.put(behind, now);
-			this.links.send(behind, FleetLinks.encode(new FleetNews.Declared(this.state)));
-		}
-	}
-
 	// an entry VM may have a link to this control VM only
 	private void publishToEntries(List<TargetReport> changes) {
 		if (!changes.isEmpty()) {
--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/fleet/EntryFleet.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/fleet/EntryFleet.java
@@ -39,12 +39,6 @@
 	 */
 	private static final long LOADS_FRESH_NANOS = TimeUnit.MILLISECONDS.toNanos(2_000);
 
-	/**
-	 * The control VMs that tell of other entry VMs; a second one covers the loss of the
-	 * first.
-	 */
-	private static final int FOLLOWED = 2;
-
 	private final FleetLinks links;
 
 	private final EventLoop loop;
@@ -98,11 +92,10 @@
 	 */
 	public void beat() {
 		EntryReport report = this.ownReport.get();
-		int followed = 0;
+		int rank = 0;
 		for (PeerIdentity peer : this.links.nearestControlPeers()) {
-			this.links.send(peer.vm(),
-					FleetLinks.encode(new FleetNews.EntryBeat(report, this.state.index(), followed < FOLLOWED)));
-			followed++;
+			this.links.send(peer.vm(), FleetLinks.encode(new FleetNews.EntryBeat(report, this.state.index(), rank)));
+			rank++;
 		}
 	}
 
--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/CallerRoute.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/CallerRoute.java
@@ -101,7 +101,7 @@
 			return refuse(GatewayRefusal.NO_SERVICE, details, sink);
 		}
 		RequestShape shape = new RequestShape(service.get(), details.promptTokens(), details.maxOutputTokens(),
-				details.promptParts());
+				details.promptParts(), route.get().pauseObjectiveMillis(), RequestShape.maxReadingShare(route.get()));
 		RoutedRequest routed = new RoutedRequest(this.context, route.get(), this.declaration.version(), shape, request,
 				details, sink, forwarded);
 		routed.start();
--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/EntryPart.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/EntryPart.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.util.List;
+import java.util.Optional;
 import java.util.SortedSet;
 import java.util.TreeSet;
 import java.util.concurrent.TimeUnit;
@@ -29,8 +30,8 @@
 import org.vanillatrestle.internal.fleet.FlightLoad;
 import org.vanillatrestle.internal.fleet.ServiceWait;
 import org.vanillatrestle.internal.fleet.TargetReport;
+import org.vanillatrestle.internal.gateway.Choice;
 import org.vanillatrestle.internal.gateway.ColdShare;
-import org.vanillatrestle.internal.gateway.GatewayTarget;
 import org.vanillatrestle.internal.gateway.GatewayTargets;
 import org.vanillatrestle.internal.gateway.RetryBudget;
 
@@ -55,6 +56,10 @@
 	 */
 	private static final long WAIT_STEP_MILLIS = 25;
 
+	private static final int READING_STEPS = 20;
+
+	private static final int PERCENT = 100;
+
 	private final GatewaySettings settings;
 
 	private final EventLoop loop;
@@ -169,9 +174,12 @@
 	}
 
 	private ServiceWait wait(DeclaredService service, long now) {
-		long millis = this.targets.waitMillis(service, now);
+		Optional<Choice> outlook = this.targets.outlook(service, now);
+		long millis = outlook.map(Choice::waitMillis).orElse(-1L);
 		long rounded = (millis + WAIT_STEP_MILLIS - 1) / WAIT_STEP_MILLIS * WAIT_STEP_MILLIS;
-		return new ServiceWait(service.name(), (millis < 0) ? -1 : rounded);
+		double readingSteps = outlook.map(Choice::readingShare).orElse(0.0) * READING_STEPS;
+		return new ServiceWait(service.name(), (millis < 0) ? -1 : rounded,
+				(int) Math.ceil(readingSteps) * (PERCENT / READING_STEPS));
 	}
 
 	@Override
@@ -203,7 +211,12 @@
 
 	@Override
 	public List<FlightLoad> loads() {
-		return this.targets.all().stream().map(GatewayTarget::own).filter((load) -> load.requests() > 0).toList();
+		long now = System.nanoTime();
+		return this.targets.all()
+			.stream()
+			.map((target) -> target.own(now))
+			.filter((load) -> load.requests() > 0 || load.readTokensPerSecond() > 0)
+			.toList();
 	}
 
 	@Override
--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/RemoteEntries.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/RemoteEntries.java
@@ -29,6 +29,8 @@
 	 */
 	private static final long WAY_MILLIS = 200;
 
+	private static final double PERCENT = 100;
+
 	private static final long AVOID_NANOS = TimeUnit.SECONDS.toNanos(2);
 
 	private final RegionId ownRegion;
@@ -73,7 +75,8 @@
 		for (EntryReport entry : this.entries) {
 			boolean usable = route.allows(entry.region()) && !tried.contains(entry.vm())
 					&& !this.avoidedNanos.containsKey(entry.vm());
-			long wait = usable ? waitOf(entry, service) : -1;
+			Optional<ServiceWait> told = usable ? waitOf(entry, service) : Optional.empty();
+			long wait = told.map(ServiceWait::waitMillis).orElse(-1L);
 			if (wait < 0 || wait > bestWait) {
 				continue;
 			}
@@ -81,18 +84,14 @@
 				best.clear();
 				bestWait = wait;
 			}
-			best.add(new RemoteChoice(entry.vm(), entry.region(), address(entry), wait + WAY_MILLIS));
+			best.add(new RemoteChoice(entry.vm(), entry.region(), address(entry), wait + WAY_MILLIS,
+					told.get().readingPercent() / PERCENT));
 		}
 		return best.isEmpty() ? Optional.empty() : Optional.of(best.get(this.random.nextInt(best.size())));
 	}
 
-	private static long waitOf(EntryReport entry, ServiceName service) {
-		return entry.waits()
-			.stream()
-			.filter((wait) -> wait.service().equals(service))
-			.mapToLong(ServiceWait::waitMillis)
-			.findFirst()
-			.orElse(-1);
+	private static Optional<ServiceWait> waitOf(EntryReport entry, ServiceName service) {
+		return entry.waits().stream().filter((wait) -> wait.service().equals(service)).findFirst();
 	}
 
 	private static TargetAddress address(EntryReport entry) {
@@ -108,8 +107,9 @@
 	 * @param region its region
 	 * @param address where it takes requests from other VMs
 	 * @param waitMillis the estimated time until the answer begins
+	 * @param readingShare how much of the time its least busy target reads prompts
 	 */
-	record RemoteChoice(VmId vm, RegionId region, TargetAddress address, long waitMillis) {
+	record RemoteChoice(VmId vm, RegionId region, TargetAddress address, long waitMillis, double readingShare) {
 	}
 
 }
--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/RoutedAttempt.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/RoutedAttempt.java
@@ -200,7 +200,12 @@
 			data.release();
 			return;
 		}
-		this.progressNanos = System.nanoTime();
+		long now = System.nanoTime();
+		if (this.progressed && this.status / 100 == 2) {
+			long pauseMillis = TimeUnit.NANOSECONDS.toMillis(now - this.progressNanos);
+			this.flight.ifPresent((sent) -> sent.paused(pauseMillis, now));
+		}
+		this.progressNanos = now;
 		this.progressed = true;
 		if (this.request.relay().body(data)) {
 			this.request.partSent();
--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/RoutedRequest.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/RoutedRequest.java
@@ -55,6 +55,11 @@
 	 */
 	private static final double PATIENCE_PART = 1.5;
 
+	/**
+	 * How much less busy another region must be.
+	 */
+	private static final double AWAY_READING_GAIN = 0.2;
+
 	/**
 	 * From so many unread prompt tokens on, other VMs are told at once: an engine reads
 	 * them in the time in which several more requests come.
@@ -145,8 +150,13 @@
 		long localMillis = local.map(Choice::waitMillis).orElse(Long.MAX_VALUE);
 		long remoteMillis = remote.map((choice) -> choice.waitMillis() + this.context.targets().readMillis(this.shape))
 			.orElse(Long.MAX_VALUE);
-		boolean away = remote.isPresent() && localMillis > AWAY_PART * this.route.objectiveMillis()
-				&& remoteMillis < AWAY_GAIN * localMillis;
+		boolean busy = local.isPresent() && isBusy(local.get().readingShare());
+		boolean away = remote.isPresent() && !isBusy(remote.get().readingShare() + AWAY_READING_GAIN) && (busy
+				|| (localMillis > AWAY_PART * this.route.objectiveMillis() && remoteMillis < AWAY_GAIN * localMillis));
+		if (busy && !away) {
+			refuse(GatewayRefusal.NO_CAPACITY, this.route.objectiveMillis());
+			return;
+		}
 		long expectedMillis = away ? remoteMillis : localMillis;
 		if (expectedMillis == Long.MAX_VALUE) {
 			waitForRoom();
@@ -164,6 +174,10 @@
 		}
 	}
 
+	private boolean isBusy(double readingShare) {
+		return readingShare > this.shape.maxReadingShare();
+	}
+
 	private void waitForRoom() {
 		if (waitedMillis() < WAIT_PART * this.route.objectiveMillis()) {
 			this.waiting = this.context.loop().schedule(this::place, WAIT_STEP_MILLIS, TimeUnit.MILLISECONDS);
@@ -176,9 +190,9 @@
 		this.triedTargets.add(choice.target().id());
 		this.sends++;
 		this.trail.add(EventKind.PLACED, waitedMillis(), "target", choice.target().id(), "waitMillis",
-				choice.waitMillis(), "unreadTokens", choice.unreadTokens(), "inFlight", choice.load().requests(),
-				"queuedTokens", choice.load().unreadTokens(), "loadAgeMillis", choice.loadAgeMillis(), "runnerUp",
-				choice.runnerUp(), "leftMillis", leftMillis());
+				choice.waitMillis(), "unreadTokens", choice.unreadTokens(), "readingShare", choice.readingShare(),
+				"inFlight", choice.load().requests(), "queuedTokens", choice.load().unreadTokens(), "loadAgeMillis",
+				choice.loadAgeMillis(), "runnerUp", choice.runnerUp(), "leftMillis", leftMillis());
 		this.attempt = RoutedAttempt.atTarget(this, this.context.targets().begin(choice, this.shape, now), choice);
 		this.attempt.start();
 		if (choice.unreadTokens() >= LARGE_TOKENS) {
--- a/vanillatrestle-wire/src/main/java/org/vanillatrestle/wire/DeclarationCodec.java
+++ b/vanillatrestle-wire/src/main/java/org/vanillatrestle/wire/DeclarationCodec.java
@@ -4,7 +4,6 @@
 import java.util.TreeSet;
 import java.util.stream.Collectors;
 
-import com.google.protobuf.ByteString;
 import com.google.protobuf.InvalidProtocolBufferException;
 import org.vanillatrestle.DataCentreId;
 import org.vanillatrestle.internal.declaration.DeclarationCommand;
@@ -137,13 +136,14 @@
 		DeclaredStateMessage.Builder message = DeclaredStateMessage.newBuilder()
 			.setIndex(state.index())
 			.setVersion(state.version())
-			.setDocument(ByteString.copyFrom(state.document()));
+			.setPackedDocument(DocumentPacking.pack(state.document()));
 		state.evacuated().forEach((dataCentre) -> message.addEvacuated(dataCentre.value()));
 		return message.build();
 	}
 
 	static DeclaredState state(DeclaredStateMessage message) {
-		return new DeclaredState(message.getIndex(), message.getVersion(), message.getDocument().toByteArray(),
+		return new DeclaredState(message.getIndex(), message.getVersion(),
+				DocumentPacking.unpack(message.getPackedDocument()),
 				message.getEvacuatedList()
 					.stream()
 					.map(DataCentreId::new)
@@ -155,7 +155,7 @@
 		if (command instanceof DeclarationCommand.Declare declare) {
 			message.setDeclare(DeclareMessage.newBuilder()
 				.setVersion(declare.version())
-				.setDocument(ByteString.copyFrom(declare.document())));
+				.setPackedDocument(DocumentPacking.pack(declare.document())));
 		}
 		else if (command instanceof DeclarationCommand.Evacuate evacuate) {
 			message.setEvacuate(EvacuateMessage.newBuilder()
@@ -168,7 +168,7 @@
 	private static DeclarationCommand command(DeclarationCommandMessage message) {
 		return switch (message.getCommandCase()) {
 			case DECLARE -> new DeclarationCommand.Declare(message.getDeclare().getVersion(),
-					message.getDeclare().getDocument().toByteArray());
+					DocumentPacking.unpack(message.getDeclare().getPackedDocument()));
 			case EVACUATE -> new DeclarationCommand.Evacuate(new DataCentreId(message.getEvacuate().getDataCentre()),
 					message.getEvacuate().getEvacuated());
 			default -> throw new IllegalArgumentException("a command of another version");
--- a/vanillatrestle-wire/src/main/java/org/vanillatrestle/wire/FleetCodec.java
+++ b/vanillatrestle-wire/src/main/java/org/vanillatrestle/wire/FleetCodec.java
@@ -47,7 +47,7 @@
 			message.setEntryBeat(EntryBeat.newBuilder()
 				.setEntry(row(beat.entry()))
 				.setDeclaredIndex(beat.declaredIndex())
-				.setFollows(beat.follows()));
+				.setRank(beat.rank()));
 		}
 		else if (news instanceof FleetNews.EntryLoads told) {
 			EntryLoads.Builder row = EntryLoads.newBuilder().setFollows(told.follows()).setUrgent(told.urgent());
@@ -88,7 +88,7 @@
 			FleetMessage message = FleetMessage.parseFrom(bytes);
 			return switch (message.getMessageCase()) {
 				case ENTRY_BEAT -> new FleetNews.EntryBeat(report(message.getEntryBeat().getEntry()),
-						message.getEntryBeat().getDeclaredIndex(), message.getEntryBeat().getFollows());
+						message.getEntryBeat().getDeclaredIndex(), message.getEntryBeat().getRank());
 				case ENTRY_LOADS -> new FleetNews.EntryLoads(loads(message.getEntryLoads().getLoadsList()),
 						message.getEntryLoads().getFollows(), message.getEntryLoads().getUrgent());
 				case REGION_LOADS -> new FleetNews.RegionLoads(loads(message.getRegionLoads().getLoadsList()));
@@ -118,8 +118,10 @@
 			.setForwardAddress(entry.forwardAddress())
 			.setReady(entry.ready());
 		entry.waits()
-			.forEach((wait) -> row.addWaits(
-					ServiceWaitRow.newBuilder().setService(wait.service().value()).setWaitMillis(wait.waitMillis())));
+			.forEach((wait) -> row.addWaits(ServiceWaitRow.newBuilder()
+				.setService(wait.service().value())
+				.setWaitMillis(wait.waitMillis())
+				.setReadingPercent(wait.readingPercent())));
 		return row.build();
 	}
 
@@ -129,13 +131,15 @@
 			.setRequests(load.requests())
 			.setUnreadTokens(load.unreadTokens())
 			.setHeldTokens(load.heldTokens())
+			.setReadTokensPerSecond(load.readTokensPerSecond())
+			.setLongestPauseMillis(load.longestPauseMillis())
 			.build();
 	}
 
 	private static List<FlightLoad> loads(List<FlightLoadRow> rows) {
 		return rows.stream()
 			.map((row) -> new FlightLoad(new TargetId(row.getTarget()), row.getRequests(), row.getUnreadTokens(),
-					row.getHeldTokens()))
+					row.getHeldTokens(), row.getReadTokensPerSecond(), row.getLongestPauseMillis()))
 			.toList();
 	}
 
@@ -144,7 +148,8 @@
 				new DataCentreId(row.getDataCentre()), row.getFrontAddress(), row.getForwardAddress(), row.getReady(),
 				row.getWaitsList()
 					.stream()
-					.map((wait) -> new ServiceWait(new ServiceName(wait.getService()), wait.getWaitMillis()))
+					.map((wait) -> new ServiceWait(new ServiceName(wait.getService()), wait.getWaitMillis(),
+							wait.getReadingPercent()))
 					.toList());
 	}
 
--- a/vanillatrestle-wire/src/main/java/org/vanillatrestle/wire/FleetNews.java
+++ b/vanillatrestle-wire/src/main/java/org/vanillatrestle/wire/FleetNews.java
@@ -19,10 +19,9 @@
 	 *
 	 * @param entry the VM
 	 * @param declaredIndex the index of its declared state
-	 * @param follows whether the control VM is to tell of entry VMs and repeat its
-	 * targets
+	 * @param rank how many control VMs are nearer to it than the receiver
 	 */
-	record EntryBeat(EntryReport entry, long declaredIndex, boolean follows) implements FleetNews {
+	record EntryBeat(EntryReport entry, long declaredIndex, int rank) implements FleetNews {
 	}
 
 	/**
--- a/vanillatrestle-wire/src/test/java/org/vanillatrestle/wire/FleetCodecTests.java
+++ b/vanillatrestle-wire/src/test/java/org/vanillatrestle/wire/FleetCodecTests.java
@@ -22,13 +22,14 @@
 
 	private static final EntryReport ENTRY = new EntryReport(new VmId("edge-1"), new RegionId("koshi"),
 			new DataCentreId("koshi-a"), "10.0.0.1:80", "10.0.0.1:81", true,
-			List.of(new ServiceWait(new ServiceName("model"), 75), new ServiceWait(new ServiceName("ledger"), -1)));
+			List.of(new ServiceWait(new ServiceName("model"), 75, 40),
+					new ServiceWait(new ServiceName("ledger"), -1, 0)));
 
-	private static final FlightLoad LOAD = new FlightLoad(new TargetId("i-1"), 3, 4_000, 9_000);
+	private static final FlightLoad LOAD = new FlightLoad(new TargetId("i-1"), 3, 4_000, 9_000, 12_000, 700);
 
 	@Test
 	void shouldReadBackWhatItWrote() throws Exception {
-		List<FleetNews> all = List.of(new FleetNews.EntryBeat(ENTRY, 7, true),
+		List<FleetNews> all = List.of(new FleetNews.EntryBeat(ENTRY, 7, 2),
 				new FleetNews.EntryLoads(List.of(LOAD), true, false), new FleetNews.EntryLoads(List.of(), false, true),
 				new FleetNews.RegionLoads(List.of(LOAD)),
 				new FleetNews.ControlBeat(7, List.of("10.0.0.2:90"), List.of(ENTRY)),
