Split the long classes, decide placements by themselves, show metrics of control VMs

Control VMs show metrics: leader, term, voters, log, declared version, operators' calls, reports, look-ups. Written once: whether a target is offered, and addresses that other VMs tell (HostAndPort, a bad one is logged instead of thrown on the event loop). Removed: AnswerFacts.wrongTarget, a latch that nobody counted down. A stalled attempt looks at budget and attempts before it chooses targets.

--- a/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/gateway/GatewayTargets.java
+++ b/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/gateway/GatewayTargets.java
@@ -264,9 +264,7 @@
 		String key = shared.get(shared.size() - 1).id();
 		return this.targets.values()
 			.stream()
-			.filter((target) -> target.report().service().equals(shape.service().name())
-					&& target.report().condition() == TargetCondition.READY
-					&& !this.evacuated.contains(target.report().dataCentre()))
+			.filter((target) -> isOffered(target, shape.service()))
 			.max(Comparator.comparingLong((GatewayTarget target) -> weight(key, target.id())));
 	}
 
@@ -280,10 +278,14 @@
 		return parts.stream().mapToInt(PromptPart::tokens).sum();
 	}
 
-	private boolean isUsable(GatewayTarget target, DeclaredService service, long nowNanos) {
+	private boolean isOffered(GatewayTarget target, DeclaredService service) {
 		TargetReport report = target.report();
-		if (!report.service().equals(service.name()) || report.condition() != TargetCondition.READY
-				|| this.evacuated.contains(report.dataCentre()) || target.health().isEjected(nowNanos)) {
+		return report.service().equals(service.name()) && report.condition() == TargetCondition.READY
+				&& !this.evacuated.contains(report.dataCentre());
+	}
+
+	private boolean isUsable(GatewayTarget target, DeclaredService service, long nowNanos) {
+		if (!isOffered(target, service) || target.health().isEjected(nowNanos)) {
 			return false;
 		}
 		if (target.health().isOnTrial() && target.own().requests() > 0) {
--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/GatewayNode.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/GatewayNode.java
@@ -119,9 +119,8 @@
 		}
 		List<HttpRoute> metrics = new ArrayList<>();
 		this.entry.ifPresent((part) -> metrics.add(new MetricsRoute(part.journal()::scrape)));
-		if (!metrics.isEmpty()) {
-			listen(new HostAndPort(this.settings.host(), this.settings.listen().metricsPort()), metrics);
-		}
+		control.ifPresent((part) -> metrics.add(new MetricsRoute(part.metrics()::scrape)));
+		listen(new HostAndPort(this.settings.host(), this.settings.listen().metricsPort()), metrics);
 	}
 
 	private void listen(HostAndPort address, List<HttpRoute> routes) throws IOException {
--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/GatewayProcess.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/GatewayProcess.java
@@ -5,7 +5,6 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.Arrays;
-import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 
 import org.vanillatrestle.InvalidDocumentException;
@@ -30,8 +29,6 @@
 
 	private final SettingsFormat format;
 
-	private final CountDownLatch hangup = new CountDownLatch(1);
-
 	private byte[] read;
 
 	private GatewayProcess(Path file, SettingsFormat format) {
@@ -79,7 +76,8 @@
 
 	private void watch(GatewayNode node) throws InterruptedException {
 		Signal.handle(new Signal("HUP"), (signal) -> reload(node));
-		while (!this.hangup.await(WATCH_MILLIS, TimeUnit.MILLISECONDS)) {
+		while (true) {
+			TimeUnit.MILLISECONDS.sleep(WATCH_MILLIS);
 			reload(node);
 		}
 	}
--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/fleet/FleetLinks.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/fleet/FleetLinks.java
@@ -19,6 +19,7 @@
 import io.netty.channel.EventLoop;
 import org.apache.commons.rng.UniformRandomProvider;
 import org.vanillatrestle.DataCentreId;
+import org.vanillatrestle.InvalidDocumentException;
 import org.vanillatrestle.RegionId;
 import org.vanillatrestle.VmId;
 import org.vanillatrestle.daemon.GatewayRole;
@@ -132,9 +133,11 @@
 	 * @param address the address, as {@code host:port}
 	 */
 	void told(String address) {
-		int colon = address.lastIndexOf(':');
-		if (colon > 0) {
-			dial(new InetSocketAddress(address.substring(0, colon), Integer.parseInt(address.substring(colon + 1))));
+		try {
+			dial(HostAndPort.parse(address, "controlAddresses").toSocketAddress());
+		}
+		catch (InvalidDocumentException ex) {
+			EventLog.write(EventKind.REPORT_REFUSED, "address", address, "reason", ex.getMessage());
 		}
 	}
 
--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/ControlPart.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/ControlPart.java
@@ -35,6 +35,7 @@
 import org.vanillatrestle.internal.fleet.EntryReport;
 import org.vanillatrestle.internal.fleet.TargetReport;
 import org.vanillatrestle.internal.log.LogSettings;
+import org.vanillatrestle.internal.log.Role;
 
 /**
  * What a control VM runs: a replica of the declared state, and its part in the fleet.
@@ -57,6 +58,8 @@
 
 	private static final long GATHER_MILLIS = 5;
 
+	private static final double NANOS_PER_SECOND = 1e9;
+
 	/**
 	 * Several times the way between regions and back, and short enough that a group whose
 	 * VMs were all restarted has a leader within a second or two.
@@ -75,9 +78,11 @@
 
 	private final ControlFleet fleet;
 
+	private final ControlMetrics metrics = new ControlMetrics();
+
 	private final AtomicReference<DeclaredState> untold = new AtomicReference<>();
 
-	private Optional<Declaration> declaration = Optional.empty();
+	private volatile Optional<Declaration> declaration = Optional.empty();
 
 	private final ScheduledExecutorService supervisor = Executors.newSingleThreadScheduledExecutor((task) -> {
 		Thread thread = new Thread(task, "replica-supervisor");
@@ -109,6 +114,13 @@
 		this.calls = new DeclarationCalls(settings.vm(), this.replica, () -> links);
 		this.fleet = new ControlFleet(links, loop, this.calls);
 		closer.add(this.supervisor::shutdownNow);
+		this.metrics.gauge("leader", () -> (this.replica.status().role() == Role.LEADER) ? 1 : 0);
+		this.metrics.gauge("term", () -> this.replica.status().term());
+		this.metrics.gauge("voters", () -> this.replica.status().membership().voters().size());
+		this.metrics.gauge("leaderless.seconds", () -> this.replica.status().leaderlessNanos() / NANOS_PER_SECOND);
+		this.metrics.gauge("log.index", () -> this.replica.status().lastIndex());
+		this.metrics.gauge("log.applied.index", () -> this.replica.status().appliedIndex());
+		this.metrics.gauge("declared.version", () -> this.declaration.map(Declaration::version).orElse(0L));
 	}
 
 	private static LogSettings logSettings(LogSettings defaults) {
@@ -198,6 +210,11 @@
 		this.fleet.left(target);
 	}
 
+	@Override
+	public ControlMetrics metrics() {
+		return this.metrics;
+	}
+
 	@Override
 	public boolean isInTouch() {
 		return this.replica.hasLeader();
--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/ControlPort.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/ControlPort.java
@@ -53,4 +53,10 @@
 	 */
 	CompletableFuture<Optional<DeclaredState>> read();
 
+	/**
+	 * Counts what is answered.
+	 * @return the metrics
+	 */
+	ControlMetrics metrics();
+
 }
--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/ControlRoute.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/ControlRoute.java
@@ -81,43 +81,56 @@
 	private void serve(ControlCall call, ControlPort control, AnswerSink sink) {
 		if (call instanceof ControlCall.Resolve resolve) {
 			Optional<byte[]> directory = control.resolve(resolve);
+			control.metrics().answered("lookups", directory.isPresent());
 			answer(sink, directory.isPresent() ? 200 : 503, directory.orElse(EMPTY_OBJECT));
 		}
 		else if (call instanceof ControlCall.Report report) {
 			boolean leaving = report.report().condition() != TargetCondition.READY;
 			control.report(report.report());
-			answer(sink, (leaving && !control.isInTouch()) ? 503 : 200, EMPTY_OBJECT);
+			boolean acknowledged = !leaving || control.isInTouch();
+			control.metrics().answered("reports", acknowledged);
+			answer(sink, acknowledged ? 200 : 503, EMPTY_OBJECT);
 		}
 		else if (call instanceof ControlCall.Leave leave) {
 			control.leave(leave.target());
-			answer(sink, control.isInTouch() ? 200 : 503, EMPTY_OBJECT);
+			boolean acknowledged = control.isInTouch();
+			control.metrics().answered("leaves", acknowledged);
+			answer(sink, acknowledged ? 200 : 503, EMPTY_OBJECT);
 		}
 		else if (call instanceof ControlCall.Declare declare) {
 			long version = declare.declaration().version();
-			answerOrder(control.propose(new DeclarationCommand.Declare(version, declare.document())),
-					"declare " + version, sink);
+			answerOrder(control.propose(new DeclarationCommand.Declare(version, declare.document())), "declare",
+					"declare " + version, control, sink);
 		}
 		else if (call instanceof ControlCall.Evacuate evacuate) {
 			answerOrder(control.propose(new DeclarationCommand.Evacuate(evacuate.dataCentre(), evacuate.evacuated())),
-					(evacuate.evacuated() ? "evacuate " : "end evacuation of ") + evacuate.dataCentre(), sink);
+					"evacuate", (evacuate.evacuated() ? "evacuate " : "end evacuation of ") + evacuate.dataCentre(),
+					control, sink);
 		}
 		else if (call instanceof ControlCall.ReadDeclaration) {
-			control.read().whenCompleteAsync((state, failure) -> answerRead(state, failure, sink), this.loop);
+			long began = System.nanoTime();
+			control.read().whenCompleteAsync((state, failure) -> {
+				boolean known = failure == null && state.isPresent();
+				control.metrics().operatorCall("read", known, System.nanoTime() - began);
+				answerRead(known ? state : Optional.empty(), sink);
+			}, this.loop);
 		}
 	}
 
-	private void answerOrder(CompletableFuture<Optional<DeclaredState>> outcome, String order, AnswerSink sink) {
+	private void answerOrder(CompletableFuture<Optional<DeclaredState>> outcome, String kind, String order,
+			ControlPort control, AnswerSink sink) {
 		long began = System.nanoTime();
 		outcome.whenCompleteAsync((state, failure) -> {
 			boolean done = failure == null && state.isPresent();
+			control.metrics().operatorCall(kind, done, System.nanoTime() - began);
 			EventLog.write(EventKind.OPERATOR_CALL, "order", order, "done", done, "index",
 					done ? state.get().index() : null, "millis", (System.nanoTime() - began) / 1_000_000);
 			answer(sink, done ? 200 : 503, EMPTY_OBJECT);
 		}, this.loop);
 	}
 
-	private static void answerRead(Optional<DeclaredState> state, Throwable failure, AnswerSink sink) {
-		boolean known = failure == null && state.isPresent();
+	private static void answerRead(Optional<DeclaredState> state, AnswerSink sink) {
+		boolean known = state.isPresent();
 		EventLog.write(EventKind.OPERATOR_CALL, "order", "read", "done", known, "version",
 				known ? state.get().version() : null);
 		if (known && state.get().isDeclared()) {
--- /dev/null
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/Placement.java
@@ -0,0 +1,98 @@
+package org.vanillatrestle.daemon.internal.gateway;
+
+/**
+ * Where a request goes, decided from what is expected here and in the best other region.
+ * <p>
+ * Immutable and thread safe.
+ *
+ * @param place where it goes
+ * @param expectedMillis the estimated time until the answer begins there
+ */
+record Placement(Place place, long expectedMillis) {
+
+	/**
+	 * Beyond this part of the objective a local wait is compared with other regions.
+	 */
+	private static final double AWAY_PART = 0.4;
+
+	/**
+	 * How much shorter the wait in another region must be.
+	 */
+	private static final double AWAY_GAIN = 0.75;
+
+	/**
+	 * How much less busy another region must be.
+	 */
+	private static final double AWAY_READING_GAIN = 0.2;
+
+	/**
+	 * The expected wait, as a part of the objective, beyond which a request is refused.
+	 */
+	private static final double PATIENCE_PART = 1.5;
+
+	/**
+	 * Decides.
+	 * @param here what is expected in this region
+	 * @param away what is expected in the best other region
+	 * @param maxReadingShare the share of the time that a target may read prompts already
+	 * @param objectiveMillis the time within which an answer is wanted
+	 * @param leftMillis the time that the request has left
+	 * @return the decision
+	 */
+	static Placement decide(Outlook here, Outlook away, double maxReadingShare, long objectiveMillis, long leftMillis) {
+		boolean busy = here.hasRoom() && here.readingShare() > maxReadingShare;
+		boolean awayEasy = away.hasRoom() && away.readingShare() + AWAY_READING_GAIN <= maxReadingShare;
+		boolean awaySooner = here.waitMillis() > AWAY_PART * objectiveMillis
+				&& away.waitMillis() < AWAY_GAIN * here.waitMillis();
+		boolean goesAway = awayEasy && (busy || awaySooner);
+		if (busy && !goesAway) {
+			return new Placement(Place.REFUSED, 2 * objectiveMillis);
+		}
+		Outlook chosen = goesAway ? away : here;
+		if (!chosen.hasRoom()) {
+			return new Placement(Place.WAITS, Outlook.NO_ROOM);
+		}
+		boolean tooLate = chosen.waitMillis() > Math.min(leftMillis, PATIENCE_PART * objectiveMillis);
+		Place place = goesAway ? Place.AWAY : Place.HERE;
+		return new Placement(tooLate ? Place.REFUSED : place, chosen.waitMillis());
+	}
+
+	/**
+	 * Where a request goes.
+	 */
+	enum Place {
+
+		/** To a target of this region. */
+		HERE,
+
+		/** To a VM of another region. */
+		AWAY,
+
+		/** Nowhere yet, as no target has room. */
+		WAITS,
+
+		/** Nowhere: it would come too late, or hold up too much. */
+		REFUSED
+
+	}
+
+	/**
+	 * What is expected of a region.
+	 *
+	 * @param waitMillis the estimated time until the answer begins, {@link #NO_ROOM} if
+	 * no target has room
+	 * @param readingShare how much of the time the target reads prompts
+	 */
+	record Outlook(long waitMillis, double readingShare) {
+
+		static final long NO_ROOM = Long.MAX_VALUE;
+
+		static final Outlook NONE = new Outlook(NO_ROOM, 0);
+
+		boolean hasRoom() {
+			return this.waitMillis != NO_ROOM;
+		}
+
+	}
+
+}
--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/RoutedRequest.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/RoutedRequest.java
@@ -40,26 +40,6 @@
 
 	private static final long WAIT_STEP_MILLIS = 25;
 
-	/**
-	 * Beyond this part of the objective a local wait is compared with other regions.
-	 */
-	private static final double AWAY_PART = 0.4;
-
-	/**
-	 * How much shorter the wait in another region must be.
-	 */
-	private static final double AWAY_GAIN = 0.75;
-
-	/**
-	 * The expected wait, as a part of the objective, beyond which a request is refused.
-	 */
-	private static final double PATIENCE_PART = 1.5;
-
-	/**
-	 * How much less busy another region must be.
-	 */
-	private static final double AWAY_READING_GAIN = 0.2;
-
 	/**
 	 * From so many unread prompt tokens on, other VMs are told at once: an engine reads
 	 * them in the time in which several more requests come.
@@ -147,35 +127,24 @@
 				? this.context.targets().choose(this.shape, this.triedTargets, now) : Optional.empty();
 		Optional<RemoteEntries.RemoteChoice> remote = this.forwarded ? Optional.empty()
 				: this.context.remotes().choose(this.route, this.shape.service().name(), this.triedVms);
-		long localMillis = local.map(Choice::waitMillis).orElse(Long.MAX_VALUE);
-		long remoteMillis = remote.map((choice) -> choice.waitMillis() + this.context.targets().readMillis(this.shape))
-			.orElse(Long.MAX_VALUE);
-		boolean busy = local.isPresent() && isBusy(local.get().readingShare());
-		boolean away = remote.isPresent() && !isBusy(remote.get().readingShare() + AWAY_READING_GAIN) && (busy
-				|| (localMillis > AWAY_PART * this.route.objectiveMillis() && remoteMillis < AWAY_GAIN * localMillis));
-		if (busy && !away) {
-			refuse(GatewayRefusal.NO_CAPACITY, this.route.objectiveMillis());
-			return;
-		}
-		long expectedMillis = away ? remoteMillis : localMillis;
-		if (expectedMillis == Long.MAX_VALUE) {
-			waitForRoom();
-			return;
-		}
-		if (expectedMillis > Math.min(leftMillis(), PATIENCE_PART * this.route.objectiveMillis())) {
-			refuse(GatewayRefusal.NO_CAPACITY, expectedMillis - this.route.objectiveMillis());
-			return;
-		}
-		if (away) {
-			sendAway(remote.get(), remoteMillis, localMillis);
-		}
-		else {
-			send(local.get(), now);
+		Placement.Outlook here = local
+			.map((choice) -> new Placement.Outlook(choice.waitMillis(), choice.readingShare()))
+			.orElse(Placement.Outlook.NONE);
+		Placement.Outlook away = remote.map(this::outlook).orElse(Placement.Outlook.NONE);
+		Placement placement = Placement.decide(here, away, this.shape.maxReadingShare(), this.route.objectiveMillis(),
+				leftMillis());
+		switch (placement.place()) {
+			case HERE -> send(local.get(), now);
+			case AWAY -> sendAway(remote.get(), placement.expectedMillis(), here);
+			case WAITS -> waitForRoom();
+			case REFUSED ->
+				refuse(GatewayRefusal.NO_CAPACITY, placement.expectedMillis() - this.route.objectiveMillis());
 		}
 	}
 
-	private boolean isBusy(double readingShare) {
-		return readingShare > this.shape.maxReadingShare();
+	private Placement.Outlook outlook(RemoteEntries.RemoteChoice choice) {
+		return new Placement.Outlook(choice.waitMillis() + this.context.targets().readMillis(this.shape),
+				choice.readingShare());
 	}
 
 	private void waitForRoom() {
@@ -200,11 +169,12 @@
 		}
 	}
 
-	private void sendAway(RemoteEntries.RemoteChoice choice, long expectedMillis, long localMillis) {
+	private void sendAway(RemoteEntries.RemoteChoice choice, long expectedMillis, Placement.Outlook here) {
 		this.triedVms.add(choice.vm());
 		this.sends++;
 		this.trail.add(EventKind.SENT_AWAY, waitedMillis(), "vm", choice.vm(), "region", choice.region(), "waitMillis",
-				expectedMillis, "localWaitMillis", (localMillis == Long.MAX_VALUE) ? -1 : localMillis);
+				expectedMillis, "localWaitMillis", here.hasRoom() ? here.waitMillis() : -1, "localReadingShare",
+				here.readingShare(), "readingShare", choice.readingShare());
 		this.context.journal().count("sent.away", service());
 		this.attempt = RoutedAttempt.atVm(this, choice, expectedMillis);
 		this.attempt.start();
@@ -376,12 +346,12 @@
 	 */
 	boolean mayMoveOn() {
 		long now = System.nanoTime();
-		boolean elsewhere = this.context.remotes()
-			.choose(this.route, this.shape.service().name(), this.triedVms)
-			.isPresent()
+		if (!hasAttemptsLeft() || this.context.budget().left(this.shape.service().name(), now) < 1) {
+			return false;
+		}
+		return this.context.remotes().choose(this.route, this.shape.service().name(), this.triedVms).isPresent()
 				|| (this.route.allows(this.context.region())
 						&& this.context.targets().choose(this.shape, this.triedTargets, now).isPresent());
-		return hasAttemptsLeft() && elsewhere && this.context.budget().left(this.shape.service().name(), now) >= 1;
 	}
 
 	String id() {
--- /dev/null
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/peer/PeerOutputs.java
@@ -0,0 +1,55 @@
+package org.vanillatrestle.daemon.internal.peer;
+
+import org.jboss.logging.Logger;
+import org.vanillatrestle.VmId;
+import org.vanillatrestle.internal.membership.Gossip;
+import org.vanillatrestle.internal.membership.MembershipEvent;
+import org.vanillatrestle.internal.membership.MembershipOutput;
+import org.vanillatrestle.internal.membership.RegionReach;
+import org.vanillatrestle.internal.membership.SummaryMessage;
+import org.vanillatrestle.internal.membership.SummaryOutput;
+import org.vanillatrestle.wire.MembershipCodec;
+import org.vanillatrestle.wire.PeerChannel;
+import org.vanillatrestle.wire.PeerNode;
+
+/**
+ * Sends what the membership and the exchange of summaries have to say.
+ * <p>
+ * Used on the VM's event loop.
+ */
+final class PeerOutputs implements MembershipOutput, SummaryOutput {
+
+	private static final Logger logger = Logger.getLogger(PeerOutputs.class);
+
+	private final PeerNode node;
+
+	private final PeerEvents events;
+
+	PeerOutputs(PeerNode node, PeerEvents events) {
+		this.node = node;
+		this.events = events;
+	}
+
+	@Override
+	public void send(VmId receiver, Gossip message) {
+		this.node.send(receiver, PeerChannel.MEMBERSHIP, MembershipCodec.encode(message));
+	}
+
+	@Override
+	public void send(VmId receiver, SummaryMessage message) {
+		this.node.send(receiver, PeerChannel.SUMMARY, MembershipCodec.encode(message));
+	}
+
+	@Override
+	public void changed(MembershipEvent event) {
+		logger.infof("Membership: %s %s", event.member().vm(), event.kind());
+		this.events.memberChanged(event);
+	}
+
+	@Override
+	public void changed(RegionReach reach) {
+		logger.infof("Membership: region %s is %s", reach.region(), (reach.reachable()) ? "reachable" : "unreachable");
+		this.events.regionChanged(reach);
+	}
+
+}
--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/peer/PeerService.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/peer/PeerService.java
@@ -22,12 +22,8 @@
 import org.vanillatrestle.internal.membership.MemberRecord;
 import org.vanillatrestle.internal.membership.MemberStatus;
 import org.vanillatrestle.internal.membership.Membership;
-import org.vanillatrestle.internal.membership.MembershipEvent;
-import org.vanillatrestle.internal.membership.MembershipOutput;
-import org.vanillatrestle.internal.membership.RegionReach;
 import org.vanillatrestle.internal.membership.SummaryExchange;
 import org.vanillatrestle.internal.membership.SummaryMessage;
-import org.vanillatrestle.internal.membership.SummaryOutput;
 import org.vanillatrestle.internal.target.Announcement;
 import org.vanillatrestle.internal.target.TargetRegistry;
 import org.vanillatrestle.wire.ForwardHandler;
@@ -282,7 +278,7 @@
 		PeerIdentity self = this.node.self();
 		MemberRecord record = new MemberRecord(self.vm(), self.address(), this.settings.roles(), self.incarnation(), 0,
 				MemberStatus.ALIVE, this.book.appliedIndex());
-		Outputs outputs = new Outputs();
+		PeerOutputs outputs = new PeerOutputs(this.node, this.events);
 		this.membership = new Membership(record, this.settings.membership(), this.random, outputs, nowNanos);
 		this.summaries = new SummaryExchange(self.dataCentre(), this.settings.summary(), this.random, this.membership,
 				outputs, nowNanos);
@@ -377,34 +373,4 @@
 
 	}
 
-	/**
-	 * Sends what the membership and the exchange have to say.
-	 */
-	private final class Outputs implements MembershipOutput, SummaryOutput {
-
-		@Override
-		public void send(VmId receiver, Gossip message) {
-			PeerService.this.node.send(receiver, PeerChannel.MEMBERSHIP, MembershipCodec.encode(message));
-		}
-
-		@Override
-		public void send(VmId receiver, SummaryMessage message) {
-			PeerService.this.node.send(receiver, PeerChannel.SUMMARY, MembershipCodec.encode(message));
-		}
-
-		@Override
-		public void changed(MembershipEvent event) {
-			logger.infof("Membership: %s %s", event.member().vm(), event.kind());
-			PeerService.this.events.memberChanged(event);
-		}
-
-		@Override
-		public void changed(RegionReach reach) {
-			logger.infof("Membership: region %s is %s", reach.region(),
-					(reach.reachable()) ? "reachable" : "unreachable");
-			PeerService.this.events.regionChanged(reach);
-		}
-
-	}
-
 }
--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/replica/ReplicaHost.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/replica/ReplicaHost.java
@@ -1,15 +1,9 @@
 package org.vanillatrestle.daemon.internal.replica;
 
 import java.io.IOException;
-import java.util.ArrayList;
-import java.util.HashMap;
-import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
-import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
@@ -25,7 +19,6 @@
 import org.vanillatrestle.internal.log.LogStatus;
 import org.vanillatrestle.internal.log.Outputs;
 import org.vanillatrestle.internal.log.Proposal;
-import org.vanillatrestle.internal.log.ReadResult;
 import org.vanillatrestle.internal.log.ReplicaId;
 import org.vanillatrestle.internal.log.ReplicatedLog;
 import org.vanillatrestle.internal.log.Role;
@@ -59,7 +52,7 @@
 
 	private final ReplicaSettings settings;
 
-	private final BlockingQueue<Input> inputs;
+	private final InputQueue inputs;
 
 	private final ReplicatedLog log;
 
@@ -67,7 +60,7 @@
 
 	private final PendingProposals proposals = new PendingProposals();
 
-	private final Map<Long, CompletableFuture<ReadOutcome>> reads = new HashMap<>();
+	private final PendingReads reads = new PendingReads();
 
 	private final Thread thread;
 
@@ -75,10 +68,6 @@
 
 	private volatile LogStatus status;
 
-	private volatile boolean closing;
-
-	private volatile boolean ended;
-
 	private long closeBeganNanos;
 
 	private Role lastRole = Role.FOLLOWER;
@@ -98,7 +87,7 @@
 		this.machine = machine;
 		this.transport = transport;
 		this.settings = settings;
-		this.inputs = new LinkedBlockingQueue<>(settings.queueLimit());
+		this.inputs = new InputQueue(settings.queueLimit());
 		this.log = new ReplicatedLog(storage.replica(), settings.log(), storage.recovered(),
 				RandomSource.SPLIT_MIX_64.create(), nowNanos());
 		this.log.setWantedVoters(settings.wantedVoters());
@@ -127,7 +116,7 @@
 						envelope.from().vm());
 				return;
 			}
-			submit(() -> this.log.receive(envelope, nowNanos()), () -> {
+			this.inputs.submit(() -> this.log.receive(envelope, nowNanos()), () -> {
 			});
 		}
 		catch (MalformedMessageException ex) {
@@ -148,7 +137,7 @@
 			return future;
 		}
 		future.thenRun(() -> this.waitingBytes.addAndGet(-command.length));
-		submit(() -> propose(command, future), () -> future.complete(notTaken()));
+		this.inputs.submit(() -> propose(command, future), () -> future.complete(notTaken()));
 		return future;
 	}
 
@@ -163,7 +152,8 @@
 	}
 
 	private ProposalOutcome notTaken() {
-		return (this.closing) ? new ProposalOutcome.NotLeader(leaderElsewhere()) : new ProposalOutcome.Overloaded();
+		return this.inputs.isClosing() ? new ProposalOutcome.NotLeader(leaderElsewhere())
+				: new ProposalOutcome.Overloaded();
 	}
 
 	/**
@@ -172,7 +162,8 @@
 	 */
 	public CompletableFuture<ReadOutcome> confirmRead() {
 		CompletableFuture<ReadOutcome> future = new CompletableFuture<>();
-		submit(() -> this.reads.put(this.log.requestRead(nowNanos()), future), () -> future.complete(notLatest()));
+		this.inputs.submit(() -> this.reads.add(this.log.requestRead(nowNanos()), future),
+				() -> future.complete(notLatest()));
 		return future;
 	}
 
@@ -188,7 +179,7 @@
 	public <T> CompletableFuture<T> read(Function<ReadOutcome, T> reader) {
 		CompletableFuture<ReadOutcome> confirmed = new CompletableFuture<>();
 		CompletableFuture<T> value = confirmed.thenApply(reader);
-		submit(() -> this.reads.put(this.log.requestRead(nowNanos()), confirmed), () -> confirmed
+		this.inputs.submit(() -> this.reads.add(this.log.requestRead(nowNanos()), confirmed), () -> confirmed
 			.completeExceptionally(new RejectedExecutionException("the replica takes no reads now")));
 		return value;
 	}
@@ -205,7 +196,7 @@
 	public <T> CompletableFuture<T> propose(byte[] command, Function<ProposalOutcome, T> follower) {
 		CompletableFuture<ProposalOutcome> future = new CompletableFuture<>();
 		CompletableFuture<T> result = future.thenApply(follower);
-		submit(() -> propose(command, future), () -> future.complete(notTaken()));
+		this.inputs.submit(() -> propose(command, future), () -> future.complete(notTaken()));
 		return result;
 	}
 
@@ -217,7 +208,7 @@
 	 */
 	public CompletableFuture<Boolean> remove(ReplicaId replica) {
 		CompletableFuture<Boolean> future = new CompletableFuture<>();
-		submit(() -> future.complete(this.log.remove(replica, nowNanos())), () -> future.complete(false));
+		this.inputs.submit(() -> future.complete(this.log.remove(replica, nowNanos())), () -> future.complete(false));
 		return future;
 	}
 
@@ -226,7 +217,7 @@
 	 * @param vms the VMs
 	 */
 	public void setWantedVoters(Set<VmId> vms) {
-		submit(() -> this.log.setWantedVoters(vms), () -> {
+		this.inputs.submit(() -> this.log.setWantedVoters(vms), () -> {
 		});
 	}
 
@@ -252,7 +243,7 @@
 	 */
 	@Override
 	public void close() {
-		this.closing = true;
+		this.inputs.close();
 		try {
 			this.thread.join();
 		}
@@ -269,31 +260,16 @@
 		return new ReadOutcome(false, this.status.appliedIndex());
 	}
 
-	private void submit(Runnable step, Runnable cancellation) {
-		boolean taken = !this.closing && this.inputs.offer(new Input(step, cancellation));
-		if (!taken) {
-			cancellation.run();
-		}
-		else if (this.ended) {
-			cancelInputs();
-		}
-	}
-
-	private void cancelInputs() {
-		List<Input> waiting = new ArrayList<>();
-		this.inputs.drainTo(waiting);
-		waiting.forEach((input) -> input.cancellation().run());
-	}
-
 	private long nowNanos() {
 		return System.nanoTime() - this.originNanos;
 	}
 
 	private void run() {
 		try (this.storage) {
+			long tickNanos = this.settings.log().heartbeatNanos() / 2;
 			runOnce(0);
 			while (!isClosed()) {
-				runOnce(tickNanos());
+				runOnce(tickNanos);
 			}
 		}
 		catch (IOException ex) {
@@ -312,7 +288,7 @@
 	}
 
 	private boolean isClosed() {
-		if (!this.closing) {
+		if (!this.inputs.isClosing()) {
 			return false;
 		}
 		if (this.closeBeganNanos == 0) {
@@ -324,22 +300,12 @@
 	}
 
 	private void runOnce(long waitNanos) throws InterruptedException {
-		List<Input> batch = new ArrayList<>();
-		Input first = this.inputs.poll(waitNanos, TimeUnit.NANOSECONDS);
-		if (first != null) {
-			batch.add(first);
-			this.inputs.drainTo(batch, this.settings.batchLimit() - 1);
-		}
-		batch.forEach((input) -> input.step().run());
+		this.inputs.run(waitNanos, this.settings.batchLimit());
 		this.log.tick(nowNanos());
 		carryOut();
 		publishStatus();
 	}
 
-	private long tickNanos() {
-		return this.settings.log().heartbeatNanos() / 2;
-	}
-
 	private void carryOut() {
 		boolean compacted = true;
 		while (compacted && carryOutOutputs()) {
@@ -350,9 +316,10 @@
 	private boolean carryOutOutputs() {
 		Outputs outputs = this.log.takeOutputs();
 		while (!outputs.isEmpty()) {
-			outputs.messages().forEach(this::send);
+			outputs.messages()
+				.forEach((envelope) -> this.transport.send(envelope.to().vm(), LogMessageCodec.encode(envelope)));
 			outputs.stateChanges().forEach(this::change);
-			outputs.reads().forEach(this::endRead);
+			outputs.reads().forEach(this.reads::end);
 			if (!outputs.writes().isEmpty() && !makeDurable(outputs)) {
 				return false;
 			}
@@ -381,10 +348,6 @@
 		publishStatus();
 	}
 
-	private void send(LogEnvelope envelope) {
-		this.transport.send(envelope.to().vm(), LogMessageCodec.encode(envelope));
-	}
-
 	private void change(StateChange change) {
 		if (change instanceof StateChange.Restore restore) {
 			this.machine.restore(restore.snapshot().lastIndex(), restore.snapshot().state());
@@ -402,13 +365,6 @@
 		this.proposals.applied(entry, reply);
 	}
 
-	private void endRead(ReadResult result) {
-		CompletableFuture<ReadOutcome> future = this.reads.remove(result.ticket());
-		if (future != null) {
-			future.complete(new ReadOutcome(result.confirmed(), result.index()));
-		}
-	}
-
 	/**
 	 * Compacts the log. Only when no output waits: what the log calls applied may else be
 	 * ahead of the state machine.
@@ -436,19 +392,8 @@
 
 	private void endWaiting() {
 		this.proposals.endAll("the replica is closed");
-		this.reads.values().forEach((read) -> read.complete(notLatest()));
-		this.reads.clear();
-		this.ended = true;
-		cancelInputs();
-	}
-
-	/**
-	 * Something for the replica's thread to do.
-	 *
-	 * @param step runs on the replica's thread
-	 * @param cancellation runs instead where the replica does not take it
-	 */
-	private record Input(Runnable step, Runnable cancellation) {
+		this.reads.endAll(notLatest());
+		this.inputs.end();
 	}
 
 }
--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/protocol/AnswerFacts.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/protocol/AnswerFacts.java
@@ -6,9 +6,8 @@
  * Immutable and thread safe.
  *
  * @param notRun whether the target promises that it has not run the request
- * @param wrongTarget whether another target than the expected one answered
  * @param signed whether the answer bears the target's signature
  * @param encoded whether the body is not as the target made it
  */
-public record AnswerFacts(boolean notRun, boolean wrongTarget, boolean signed, boolean encoded) {
+public record AnswerFacts(boolean notRun, boolean signed, boolean encoded) {
 }
