--- a/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/gateway/GatewayTargets.java
+++ b/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/gateway/GatewayTargets.java
@@ -217,11 +217,8 @@
 		return wait + WORK_WEIGHT * work + tooBusy + heldUpMillis(shape, speed, unread, target, nowNanos);
 	}
 
-	// a stream's next event takes several steps, each of which reads a piece of the
-	// prompts
-	// that wait; at a target that reads slowly, so many steps take longer than streams
-	// may
-	// pause
+	// a stream's next event takes several steps, and each reads a piece of what waits: at
+	// a target that reads slowly so many steps take longer than streams may pause
 	private static double heldUpMillis(RequestShape shape, ServiceSpeed speed, long unread, GatewayTarget target,
 			long nowNanos) {
 		if (target.longestPauseMillis(nowNanos) < SLOW_READER_PART * shape.pauseObjectiveMillis()) {
