Gather a VM's loads once for each look, and tell where a time comes from

EntryFleet asked for its loads to compare them and again to send them, ten times a second. The comment on the time for which control VMs gather loads claimed a measurement that was not made. Behaviour is unchanged.

--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/fleet/EntryFleet.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/fleet/EntryFleet.java
@@ -105,17 +105,21 @@
 			this.heardLoadsNanos = now;
 			this.follower.otherLoadsChanged(List.of());
 		}
-		if (now - this.toldLoadsNanos > LOADS_REPEAT_NANOS || !this.follower.loads().equals(this.toldLoads)) {
-			tellLoads(false);
+		List<FlightLoad> loads = this.follower.loads();
+		if (now - this.toldLoadsNanos > LOADS_REPEAT_NANOS || !loads.equals(this.toldLoads)) {
+			tellLoads(loads, false);
 		}
 	}
 
 	/**
-	 * Tells what this VM has in flight now.
-	 * @param urgent whether the other VMs should know at once
+	 * Tells what this VM has in flight now, so that the other VMs know at once.
 	 */
-	public void tellLoads(boolean urgent) {
-		this.toldLoads = this.follower.loads();
+	public void tellLoadsUrgently() {
+		tellLoads(this.follower.loads(), true);
+	}
+
+	private void tellLoads(List<FlightLoad> loads, boolean urgent) {
+		this.toldLoads = loads;
 		this.toldLoadsNanos = System.nanoTime();
 		List<PeerIdentity> nearest = this.links.nearestControlPeers();
 		for (int i = 0; i < nearest.size(); i++) {
--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/fleet/LoadExchange.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/fleet/LoadExchange.java
@@ -22,8 +22,8 @@
 final class LoadExchange {
 
 	/**
-	 * How long changes are gathered: the age of loads against messages, measured on the
-	 * users' bench.
+	 * How long changes are gathered, as long as entry VMs gather theirs; other times were
+	 * not tried.
 	 */
 	private static final long GATHER_MILLIS = 100;
 
--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/EntryPart.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/EntryPart.java
@@ -107,7 +107,7 @@
 		TargetClient client = closer.add(new TargetClient(loop, CONNECT_TIMEOUT_MILLIS, true));
 		this.fleet = new EntryFleet(links, loop, this::report, this);
 		this.callers = new CallerRoute(new GatewayContext(loop, settings.region(), protocol, this.targets, this.remotes,
-				client, this.budget, this.journal, random, () -> this.fleet.tellLoads(true)));
+				client, this.budget, this.journal, random, () -> this.fleet.tellLoadsUrgently()));
 	}
 
 	public EntryFleet fleet() {
