Tell loads only when others can't work them out

Cause: a VM's loads hold the tokens sent of late, which fade with each look, so that the loads differed at every look and were told ten times a second for some 17 s after the last prompt.

LoadNews compares with what the others know: tokens read fade alike at the sender, in LoadTable and at the receiver, so that fading alone is no news. Each control VM adds up loads faded by their age.

--- a/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/fleet/LoadTable.java
+++ b/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/fleet/LoadTable.java
@@ -57,7 +57,8 @@
 		Map<TargetId, FlightLoad> sums = new TreeMap<>();
 		this.rows.forEach((vm, row) -> {
 			if (row.region.equals(region) && !vm.equals(receiver)) {
-				row.loads.forEach((load) -> sums.merge(load.target(), load, FlightLoad::plus));
+				long ageNanos = nowNanos - row.nanos;
+				row.loads.forEach((load) -> sums.merge(load.target(), load.fadedBy(ageNanos), FlightLoad::plus));
 			}
 		});
 		return List.copyOf(sums.values());
--- a/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/gateway/GatewayTarget.java
+++ b/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/gateway/GatewayTarget.java
@@ -37,6 +37,8 @@
 
 	private FlightLoad others;
 
+	private long othersToldNanos;
+
 	GatewayTarget(TargetReport report, long nowNanos) {
 		this.chilledUntilNanos = nowNanos;
 		this.own = new FlightLoad(report.target(), 0, 0, 0);
@@ -142,11 +144,13 @@
 	 * @return the tokens by the second
 	 */
 	double readTokensPerSecond(long nowNanos) {
-		return this.reading.tokensPerSecond(nowNanos) + this.others.readTokensPerSecond();
+		return this.reading.tokensPerSecond(nowNanos)
+				+ this.others.fadedBy(nowNanos - this.othersToldNanos).readTokensPerSecond();
 	}
 
-	void setOthers(FlightLoad load) {
+	void setOthers(FlightLoad load, long nowNanos) {
 		this.others = load;
+		this.othersToldNanos = nowNanos;
 	}
 
 	void add(FlightLoad load) {
--- a/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/gateway/GatewayTargets.java
+++ b/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/gateway/GatewayTargets.java
@@ -167,7 +167,8 @@
 		this.othersToldNanos = nowNanos;
 		Map<TargetId, FlightLoad> byTarget = new HashMap<>();
 		loads.forEach((load) -> byTarget.merge(load.target(), load, FlightLoad::plus));
-		this.targets.forEach((id, target) -> target.setOthers(byTarget.getOrDefault(id, new FlightLoad(id, 0, 0, 0))));
+		this.targets.forEach(
+				(id, target) -> target.setOthers(byTarget.getOrDefault(id, new FlightLoad(id, 0, 0, 0)), nowNanos));
 	}
 
 	/**
--- a/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/gateway/ReadingRate.java
+++ b/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/gateway/ReadingRate.java
@@ -2,6 +2,8 @@
 
 import java.util.concurrent.TimeUnit;
 
+import org.vanillatrestle.internal.fleet.FlightLoad;
+
 /**
  * The prompt tokens that this VM sent to one target of late, by the second.
  * <p>
@@ -9,12 +11,6 @@
  */
 final class ReadingRate {
 
-	/**
-	 * About as long as an answer that suffers from the reading of others: a few pauses of
-	 * a stream.
-	 */
-	private static final double FADING_NANOS = TimeUnit.MILLISECONDS.toNanos(1_500);
-
 	private static final double NANOS_PER_SECOND = TimeUnit.SECONDS.toNanos(1);
 
 	private double tokens;
@@ -28,11 +24,11 @@
 
 	double tokensPerSecond(long nowNanos) {
 		fade(nowNanos);
-		return this.tokens * NANOS_PER_SECOND / FADING_NANOS;
+		return this.tokens * NANOS_PER_SECOND / FlightLoad.READING_FADES_NANOS;
 	}
 
 	private void fade(long nowNanos) {
-		this.tokens *= Math.exp(-Math.max(0, nowNanos - this.countedNanos) / FADING_NANOS);
+		this.tokens *= FlightLoad.remainingPart(nowNanos - this.countedNanos);
 		this.countedNanos = nowNanos;
 	}
 
--- a/vanillatrestle-core/src/test/java/org/vanillatrestle/internal/fleet/LoadTableTests.java
+++ b/vanillatrestle-core/src/test/java/org/vanillatrestle/internal/fleet/LoadTableTests.java
@@ -54,6 +54,15 @@
 		assertThat(this.table.others(THIRD, KOSHI, TimeUnit.SECONDS.toNanos(3))).isEmpty();
 	}
 
+	@Test
+	void shouldFadeTheTokensReadSinceAVmToldOfThem() {
+		long told = TimeUnit.MILLISECONDS.toNanos(300);
+		FlightLoad reading = new FlightLoad(new TargetId("a"), 1, 0, 0, 40_000, 0);
+		this.table.told(FIRST, KOSHI, List.of(reading), 0);
+		this.table.told(SECOND, KOSHI, List.of(reading), told);
+		assertThat(this.table.others(THIRD, KOSHI, told)).containsExactly(reading.fadedBy(told).plus(reading));
+	}
+
 	@Property
 	void shouldNeverTellAVmItsOwnLoad(
 			@ForAll @Size(min = 1, max = 8) List<@IntRange(min = 1, max = 50) Integer> loads) {
--- a/vanillatrestle-core/src/test/java/org/vanillatrestle/internal/gateway/GatewayTargetsTests.java
+++ b/vanillatrestle-core/src/test/java/org/vanillatrestle/internal/gateway/GatewayTargetsTests.java
@@ -22,6 +22,7 @@
 import org.vanillatrestle.internal.target.TargetAddress;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.within;
 
 class GatewayTargetsTests {
 
@@ -153,6 +154,18 @@
 		assertThat(this.targets.choose(shape, Set.of(), 1).orElseThrow().readingShare()).isBetween(0.8, 1.0);
 	}
 
+	@Test
+	void shouldFadeWhatOthersSentToBeReadThoughTheyTellNothingNew() {
+		add("a", MODEL, TargetCondition.READY, 0);
+		RequestShape shape = shape(MODEL, 400, "p");
+		this.targets.setOtherLoads(List.of(new FlightLoad(new TargetId("a"), 1, 0, 0, 36_000, 0)), 1);
+		double atOnce = this.targets.choose(shape, Set.of(), 1).orElseThrow().readingShare();
+		double later = this.targets.choose(shape, Set.of(), 1 + FlightLoad.READING_FADES_NANOS)
+			.orElseThrow()
+			.readingShare();
+		assertThat(later / atOnce).isCloseTo(1 / Math.E, within(0.01));
+	}
+
 	@Test
 	void shouldCountWhatItSentToBeReadOfLate() {
 		add("a", MODEL, TargetCondition.READY, 0);
--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/fleet/EntryFleet.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/fleet/EntryFleet.java
@@ -9,6 +9,7 @@
 import org.vanillatrestle.internal.declaration.DeclaredState;
 import org.vanillatrestle.internal.fleet.EntryReport;
 import org.vanillatrestle.internal.fleet.FlightLoad;
+import org.vanillatrestle.internal.fleet.LoadNews;
 import org.vanillatrestle.internal.fleet.TargetReport;
 import org.vanillatrestle.internal.fleet.TargetTable;
 import org.vanillatrestle.wire.FleetNews;
@@ -28,12 +29,6 @@
 	 */
 	private static final long LOADS_MILLIS = 100;
 
-	/**
-	 * How often loads are told though they don't change, several times before the others
-	 * would forget them.
-	 */
-	private static final long LOADS_REPEAT_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
-
 	/**
 	 * After this silence the loads of the other VMs are unknown.
 	 */
@@ -53,9 +48,9 @@
 
 	private DeclaredState state = DeclaredState.NONE;
 
-	private List<FlightLoad> toldLoads = List.of();
+	private final LoadNews loadNews = new LoadNews(System.nanoTime());
 
-	private long toldLoadsNanos = System.nanoTime();
+	private long beats;
 
 	private long heardLoadsNanos = System.nanoTime();
 
@@ -84,17 +79,25 @@
 	private void tick() {
 		this.links.tick();
 		this.follower.entriesChanged(this.entries.fresh(System.nanoTime()));
-		beat();
+		this.beats++;
+		beat(Followers.isTurnOfOthers(this.beats));
 	}
 
 	/**
 	 * Tells the control VMs of this VM now.
 	 */
 	public void beat() {
+		beat(true);
+	}
+
+	private void beat(boolean all) {
 		EntryReport report = this.ownReport.get();
 		int rank = 0;
 		for (PeerIdentity peer : this.links.nearestControlPeers()) {
-			this.links.send(peer.vm(), FleetLinks.encode(new FleetNews.EntryBeat(report, this.state.index(), rank)));
+			if (all || Followers.follows(rank)) {
+				this.links.send(peer.vm(),
+						FleetLinks.encode(new FleetNews.EntryBeat(report, this.state.index(), rank)));
+			}
 			rank++;
 		}
 	}
@@ -106,7 +109,7 @@
 			this.follower.otherLoadsChanged(List.of());
 		}
 		List<FlightLoad> loads = this.follower.loads();
-		if (now - this.toldLoadsNanos > LOADS_REPEAT_NANOS || !loads.equals(this.toldLoads)) {
+		if (this.loadNews.isDue(loads, now)) {
 			tellLoads(loads, false);
 		}
 	}
@@ -119,13 +122,12 @@
 	}
 
 	private void tellLoads(List<FlightLoad> loads, boolean urgent) {
-		this.toldLoads = loads;
-		this.toldLoadsNanos = System.nanoTime();
+		this.loadNews.told(loads, System.nanoTime());
 		List<PeerIdentity> nearest = this.links.nearestControlPeers();
 		for (int i = 0; i < nearest.size(); i++) {
 			if (i == 0 || this.links.isNear(nearest.get(i))) {
 				this.links.send(nearest.get(i).vm(),
-						FleetLinks.encode(new FleetNews.EntryLoads(this.toldLoads, i == 0, urgent)));
+						FleetLinks.encode(new FleetNews.EntryLoads(loads, i == 0, urgent)));
 			}
 		}
 	}
