Beat half as often among VMs that don't follow one another

Cause: each of 66 to 79 VMs exchanged four beats a second with all six control VMs, though only the two nearest tell it anything of the others: 3,300 messages a second.

Entry and control VMs that don't follow one another exchange every second beat, three in the time after which a silent VM counts as lost. Left as it was: pings, since a longer silence before them would close idle links whose settings are near the limit.

--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/fleet/ControlFleet.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/fleet/ControlFleet.java
@@ -45,12 +45,6 @@
 	 */
 	private static final int COMPLETE_BEATS = 4;
 
-	/**
-	 * The control VMs that tell an entry VM of the others; a second one covers the loss
-	 * of the first.
-	 */
-	private static final int FOLLOWED = 2;
-
 	private final FleetLinks links;
 
 	private final EventLoop loop;
@@ -79,6 +73,8 @@
 
 	private long repeatedNanos;
 
+	private long beats;
+
 	/**
 	 * Creates the control VM's part.
 	 * @param links the links
@@ -105,8 +101,14 @@
 		Set<VmId> following = this.followers.fresh(now);
 		byte[] plain = beat(List.of());
 		byte[] withEntries = beat(this.entryNews.next(this.entries.fresh(now)));
+		this.beats++;
 		for (PeerIdentity peer : this.links.allPeers()) {
-			this.links.send(peer.vm(), following.contains(peer.vm()) ? withEntries : plain);
+			if (following.contains(peer.vm())) {
+				this.links.send(peer.vm(), withEntries);
+			}
+			else if (Followers.isTurnOfOthers(this.beats)) {
+				this.links.send(peer.vm(), plain);
+			}
 		}
 		if (now - this.repeatedNanos > REPEAT_NANOS) {
 			this.repeatedNanos = now;
@@ -225,7 +227,7 @@
 	public void onNews(VmId sender, FleetNews news) {
 		if (news instanceof FleetNews.EntryBeat beat) {
 			this.entries.heard(beat.entry(), System.nanoTime());
-			this.followers.told(sender, beat.rank() < FOLLOWED, System.nanoTime());
+			this.followers.told(sender, Followers.follows(beat.rank()), System.nanoTime());
 			this.ranks.put(sender, beat.rank());
 			pushState(sender, beat.rank(), beat.declaredIndex());
 		}
--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/fleet/Followers.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/fleet/Followers.java
@@ -20,8 +20,38 @@
 	 */
 	private static final long FRESH_NANOS = TimeUnit.MILLISECONDS.toNanos(2_000);
 
+	/**
+	 * The control VMs that tell an entry VM of the others; a second one covers the loss
+	 * of the first.
+	 */
+	private static final int FOLLOWED = 2;
+
+	/**
+	 * Control and entry VMs that don't follow one another exchange every second beat,
+	 * still three in the time after which a silent VM counts as lost.
+	 */
+	private static final int BEATS_A_TURN = 2;
+
 	private final Map<VmId, Long> askedNanos = new HashMap<>();
 
+	/**
+	 * Tells whether an entry VM follows a control VM.
+	 * @param rank how many control VMs are nearer to the entry VM
+	 * @return whether it does
+	 */
+	static boolean follows(int rank) {
+		return rank < FOLLOWED;
+	}
+
+	/**
+	 * Tells whether VMs that don't follow one another exchange a beat too.
+	 * @param beat the number of the sender's beat
+	 * @return whether they do
+	 */
+	static boolean isTurnOfOthers(long beat) {
+		return beat % BEATS_A_TURN == 0;
+	}
+
 	void told(VmId vm, boolean follows, long nowNanos) {
 		if (follows) {
 			this.askedNanos.put(vm, nowNanos);
--- a/vanillatrestle-daemon/src/test/java/org/vanillatrestle/daemon/internal/fleet/FollowersTests.java
+++ b/vanillatrestle-daemon/src/test/java/org/vanillatrestle/daemon/internal/fleet/FollowersTests.java
@@ -1,6 +1,8 @@
 package org.vanillatrestle.daemon.internal.fleet;
 
 import java.util.concurrent.TimeUnit;
+import java.util.stream.IntStream;
+import java.util.stream.LongStream;
 
 import org.junit.jupiter.api.Test;
 import org.vanillatrestle.VmId;
@@ -30,4 +32,17 @@
 		assertThat(this.followers.fresh(2)).isEmpty();
 	}
 
+	@Test
+	void shouldFollowTheTwoNearestControlVms() {
+		assertThat(IntStream.range(0, 6).filter(Followers::follows)).containsExactly(0, 1);
+	}
+
+	@Test
+	void shouldExchangeThreeBeatsWithOthersBeforeASilentVmCountsAsLost() {
+		long beatMillis = 250;
+		long lostMillis = 1_600;
+		assertThat(LongStream.range(0, lostMillis / beatMillis).filter(Followers::isTurnOfOthers))
+			.hasSizeGreaterThanOrEqualTo(3);
+	}
+
 }
