Leave out a region that can't be reached

Two VMs of a region that could not be reached within two seconds now show that the region can't; it gets nothing from here for two seconds, with a line `region-unreachable`. VMs that broke off don't count.

--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/RemoteEntries.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/RemoteEntries.java
@@ -12,6 +12,8 @@
 import org.vanillatrestle.RegionId;
 import org.vanillatrestle.ServiceName;
 import org.vanillatrestle.VmId;
+import org.vanillatrestle.daemon.internal.logging.EventKind;
+import org.vanillatrestle.daemon.internal.logging.EventLog;
 import org.vanillatrestle.internal.declaration.DeclaredRoute;
 import org.vanillatrestle.internal.fleet.EntryReport;
 import org.vanillatrestle.internal.fleet.ServiceWait;
@@ -37,8 +39,16 @@
 
 	private final UniformRandomProvider random;
 
+	/**
+	 * So many VMs of a region that can't be reached show that the region can't: one may
+	 * be down.
+	 */
+	private static final int UNREACHABLE_VMS = 2;
+
 	private final Map<VmId, Long> avoidedNanos = new HashMap<>();
 
+	private final Map<RegionId, Map<VmId, Long>> unreachableNanos = new HashMap<>();
+
 	private List<EntryReport> entries = List.of();
 
 	RemoteEntries(RegionId ownRegion, UniformRandomProvider random) {
@@ -55,9 +65,27 @@
 	/**
 	 * Notes that a VM could not be reached or broke off.
 	 * @param vm the VM
+	 * @param region its region
+	 * @param unreachable whether it could not be reached
 	 */
-	void failed(VmId vm) {
-		this.avoidedNanos.put(vm, System.nanoTime());
+	void failed(VmId vm, RegionId region, boolean unreachable) {
+		long now = System.nanoTime();
+		this.avoidedNanos.put(vm, now);
+		if (!unreachable) {
+			return;
+		}
+		boolean before = isUnreachable(region, now);
+		Map<VmId, Long> vms = this.unreachableNanos.computeIfAbsent(region, (key) -> new HashMap<>());
+		vms.put(vm, now);
+		if (!before && isUnreachable(region, now)) {
+			EventLog.write(EventKind.REGION_UNREACHABLE, "region", region, "vms", vms.keySet(), "avoidedMillis",
+					TimeUnit.NANOSECONDS.toMillis(AVOID_NANOS));
+		}
+	}
+
+	private boolean isUnreachable(RegionId region, long now) {
+		Map<VmId, Long> vms = this.unreachableNanos.getOrDefault(region, Map.of());
+		return vms.values().stream().filter((since) -> now - since <= AVOID_NANOS).count() >= UNREACHABLE_VMS;
 	}
 
 	/**
@@ -70,11 +98,12 @@
 	Optional<RemoteChoice> choose(DeclaredRoute route, ServiceName service, Set<VmId> tried) {
 		long now = System.nanoTime();
 		this.avoidedNanos.values().removeIf((since) -> now - since > AVOID_NANOS);
+		this.unreachableNanos.values().forEach((vms) -> vms.values().removeIf((since) -> now - since > AVOID_NANOS));
 		List<RemoteChoice> best = new ArrayList<>();
 		long bestWait = Long.MAX_VALUE;
 		for (EntryReport entry : this.entries) {
 			boolean usable = route.allows(entry.region()) && !tried.contains(entry.vm())
-					&& !this.avoidedNanos.containsKey(entry.vm());
+					&& !this.avoidedNanos.containsKey(entry.vm()) && !isUnreachable(entry.region(), now);
 			Optional<ServiceWait> told = usable ? waitOf(entry, service) : Optional.empty();
 			long wait = told.map(ServiceWait::waitMillis).orElse(-1L);
 			if (wait < 0 || wait > bestWait) {
--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/RoutedAttempt.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/RoutedAttempt.java
@@ -268,7 +268,8 @@
 		this.done = true;
 		boolean unreachable = verdict == Verdict.NOT_RUN;
 		failed(unreachable, System.nanoTime());
-		this.remote.ifPresent((choice) -> this.request.context().remotes().failed(choice.vm()));
+		this.remote
+			.ifPresent((choice) -> this.request.context().remotes().failed(choice.vm(), choice.region(), unreachable));
 		this.request.attemptFailed(verdict, !unreachable, detail);
 	}
 
