Keep a silent VM's part of what cold targets tolerate

A VM that stood still for two seconds took all others for gone once it went on, and they it, so that each of two took the whole part: four and four.

EntryMemory keeps a silent VM among those that share for 6 s, the platform's time out of touch, and does not count time in which this VM itself stood still. A VM that no control VM has told of itself yet sends nothing to cold targets; until now it took the whole part as soon as it started. The retry budget is divided among the same VMs.

GatewayTargetsTests now tell the targets of the fleet first, as the VM does; the bound in them is the same.

--- a/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/gateway/ColdShare.java
+++ b/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/gateway/ColdShare.java
@@ -26,12 +26,16 @@
 	 * @param warmupPerSecond the requests a second that the target tolerates
 	 * @param target the target
 	 * @param self this VM
-	 * @param members the entry VMs of the region, with this one
+	 * @param members the entry VMs of the region as the control VMs tell them; as long as
+	 * they don't tell of this one, it has no part
 	 * @return the requests that this VM may send within a second
 	 */
 	public int part(double warmupPerSecond, TargetId target, VmId self, SortedSet<VmId> members) {
 		int total = (int) Math.floor((warmupPerSecond * this.factor + this.slack) * DIVIDED_PART);
-		int count = Math.max(1, members.size());
+		if (!members.contains(self)) {
+			return 0;
+		}
+		int count = members.size();
 		long ownRank = members.stream().filter((vm) -> weight(vm, target) < weight(self, target)).count();
 		return total / count + ((ownRank < total % count) ? 1 : 0);
 	}
--- a/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/gateway/GatewayTargets.java
+++ b/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/gateway/GatewayTargets.java
@@ -108,7 +108,6 @@
 		this.self = self;
 		this.coldShare = coldShare;
 		this.random = random;
-		this.regionEntries.add(self);
 	}
 
 	/**
--- /dev/null
+++ b/vanillatrestle-core/src/test/java/org/vanillatrestle/internal/fleet/EntryMemoryTests.java
@@ -0,0 +1,58 @@
+package org.vanillatrestle.internal.fleet;
+
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+
+import org.junit.jupiter.api.Test;
+import org.vanillatrestle.DataCentreId;
+import org.vanillatrestle.RegionId;
+import org.vanillatrestle.VmId;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class EntryMemoryTests {
+
+	private static final EntryReport SELF = entry("edge-1");
+
+	private static final EntryReport OTHER = entry("edge-2");
+
+	private final EntryMemory memory = new EntryMemory();
+
+	private static EntryReport entry(String vm) {
+		return new EntryReport(new VmId(vm), new RegionId("koshi"), new DataCentreId("koshi-a"), "127.0.0.1:1",
+				"127.0.0.1:2", true, List.of());
+	}
+
+	private static long millis(long millis) {
+		return TimeUnit.MILLISECONDS.toNanos(millis);
+	}
+
+	private int countAfterSilence(long fromMillis, long untilMillis) {
+		int count = 0;
+		for (long at = fromMillis; at <= untilMillis; at += 250) {
+			count = this.memory.look(List.of(SELF), millis(at)).size();
+		}
+		return count;
+	}
+
+	@Test
+	void shouldKnowNobodyBeforeItHeardOfAnybody() {
+		assertThat(this.memory.look(List.of(), 0)).isEmpty();
+	}
+
+	@Test
+	void shouldCountASilentVmAsLongAsItMayBeOutOfTouch() {
+		this.memory.look(List.of(SELF, OTHER), 0);
+		assertThat(countAfterSilence(250, 6_000)).isEqualTo(2);
+		assertThat(countAfterSilence(6_250, 6_250)).isEqualTo(1);
+	}
+
+	@Test
+	void shouldCountAsManyAsBeforeAfterItStoodStillItself() {
+		this.memory.look(List.of(SELF, OTHER), 0);
+		assertThat(this.memory.look(List.of(), millis(20_000))).hasSize(2);
+		assertThat(countAfterSilence(20_250, 25_000)).isEqualTo(2);
+		assertThat(countAfterSilence(25_250, 26_500)).isEqualTo(1);
+	}
+
+}
--- a/vanillatrestle-core/src/test/java/org/vanillatrestle/internal/gateway/GatewayTargetsTests.java
+++ b/vanillatrestle-core/src/test/java/org/vanillatrestle/internal/gateway/GatewayTargetsTests.java
@@ -6,9 +6,11 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.TreeSet;
 import java.util.concurrent.TimeUnit;
 
 import org.apache.commons.rng.simple.RandomSource;
+import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.vanillatrestle.DataCentreId;
 import org.vanillatrestle.ServiceName;
@@ -39,6 +41,11 @@
 	private final GatewayTargets targets = new GatewayTargets(new VmId("edge-1"), new ColdShare(1.5, 3),
 			RandomSource.SPLIT_MIX_64.create(7));
 
+	@BeforeEach
+	void tellOfTheFleet() {
+		this.targets.setRegionEntries(new TreeSet<>(Set.of(new VmId("edge-1"))));
+	}
+
 	@Test
 	void shouldSendNothingToTargetsThatLeaveOrAreEvacuated() {
 		add("a", MODEL, TargetCondition.DRAINING, 0);
@@ -212,6 +219,13 @@
 		assertThat(sendUntilRefused(50)).isBetween(1, 6);
 	}
 
+	@Test
+	void shouldSendNothingToAColdTargetBeforeItKnowsWithWhomItShares() {
+		this.targets.setRegionEntries(new TreeSet<>());
+		add("a", MODEL, TargetCondition.READY, 3_000);
+		assertThat(choose(MODEL, 100)).isEmpty();
+	}
+
 	@Test
 	void shouldTreatTargetsOfADataCentreTakenBackAsCold() {
 		add("a", MODEL, TargetCondition.READY, 0);
--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/EntryPart.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/EntryPart.java
@@ -1,6 +1,7 @@
 package org.vanillatrestle.daemon.internal.gateway;
 
 import java.io.IOException;
+import java.util.Collection;
 import java.util.List;
 import java.util.Optional;
 import java.util.SortedSet;
@@ -26,6 +27,7 @@
 import org.vanillatrestle.internal.declaration.Declaration;
 import org.vanillatrestle.internal.declaration.DeclaredService;
 import org.vanillatrestle.internal.declaration.DeclaredState;
+import org.vanillatrestle.internal.fleet.EntryMemory;
 import org.vanillatrestle.internal.fleet.EntryReport;
 import org.vanillatrestle.internal.fleet.FlightLoad;
 import org.vanillatrestle.internal.fleet.ServiceWait;
@@ -70,6 +72,8 @@
 
 	private final RemoteEntries remotes;
 
+	private final EntryMemory entryMemory = new EntryMemory();
+
 	private final RetryBudget budget;
 
 	private final RequestJournal journal = new RequestJournal();
@@ -227,14 +231,13 @@
 	@Override
 	public void entriesChanged(List<EntryReport> entries) {
 		this.remotes.update(entries);
-		VmId self = this.settings.vm();
+		Collection<EntryReport> sharing = this.entryMemory.look(entries, System.nanoTime());
 		SortedSet<VmId> near = new TreeSet<>();
-		near.add(self);
-		entries.stream()
+		sharing.stream()
 			.filter((entry) -> entry.region().equals(this.settings.region()))
 			.forEach((entry) -> near.add(entry.vm()));
 		this.targets.setRegionEntries(near);
-		this.budget.setVmCount(Math.max(1, entries.size()));
+		this.budget.setVmCount(Math.max(1, sharing.size()));
 	}
 
 }
