--- a/vanillatrestle-bench/src/test/java/org/vanillatrestle/bench/serving/ThreeRegionTests.java
+++ b/vanillatrestle-bench/src/test/java/org/vanillatrestle/bench/serving/ThreeRegionTests.java
@@ -61,7 +61,9 @@
 		service = StandInService.start(
 				ServiceSettings.fast("s1", "bagmati-a", "ledger", "everywhere", List.of(regions.address("bagmati"))));
 		Regions.await(() -> chat("bagmati", EVERYWHERE).statusCode() == 200);
-		Regions.await(() -> regions.get("bagmati", "/ledger/balances/1", EVERYWHERE).statusCode() == 200);
+		for (String region : new String[] { "bagmati", "koshi", "lumbini" }) {
+			Regions.await(() -> regions.get(region, "/ledger/balances/1", EVERYWHERE).statusCode() == 200);
+		}
 	}
 
 	@AfterAll
