--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/replica/ReplicaHost.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/replica/ReplicaHost.java
@@ -88,20 +88,15 @@
 		this.transport = transport;
 		this.settings = settings;
 		this.inputs = new InputQueue(settings.queueLimit());
+		long seed = System.nanoTime() ^ ((long) storage.replica().hashCode() << Integer.SIZE);
 		this.log = new ReplicatedLog(storage.replica(), settings.log(), storage.recovered(),
-				RandomSource.SPLIT_MIX_64.create(seed(storage.replica())), nowNanos());
+				RandomSource.SPLIT_MIX_64.create(seed), nowNanos());
 		this.log.setWantedVoters(settings.wantedVoters());
 		this.log.setVoterTarget(settings.voterTarget());
 		this.status = this.log.status(nowNanos());
 		this.thread = new Thread(this::run, "replica-" + name);
 	}
 
-	// differs between replicas and starts; a secure one takes longer to make than it is
-	// worth
-	private static long seed(ReplicaId replica) {
-		return System.nanoTime() ^ ((long) replica.hashCode() << Integer.SIZE);
-	}
-
 	/**
 	 * Starts the replica's thread.
 	 */
