Work things out once: reading shares, ages of loads, unreachable regions, packed documents

Found in a read-through of the change: - GatewayTargets worked out a target's reading share for each candidate and again for the chosen one; the candidate keeps it. The time at which others told their loads stood in it and in each target; the former is enough. - Flight kept the unread tokens beside the load that holds them. - RemoteEntries counted the unreachable VMs of a region anew for each VM of it, for each request; old ones are forgotten first, so that a region's count is the size of its map. - ControlFleet encoded all targets for control VMs also when it told entry VMs only. - DocumentPacking wrote the loops of the JDK's deflate streams again.

Behaviour is the same but for one message: a control VM that knows no target no longer sends an empty list to another.

--- a/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/gateway/Flight.java
+++ b/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/gateway/Flight.java
@@ -19,8 +19,6 @@
 
 	private final long queuedTokens;
 
-	private final long unreadTokens;
-
 	private FlightLoad load;
 
 	private boolean answering;
@@ -33,7 +31,6 @@
 		this.shape = shape;
 		this.sentNanos = nowNanos;
 		this.queuedTokens = target.total().unreadTokens();
-		this.unreadTokens = unreadTokens;
 		this.load = new FlightLoad(target.id(), 1, unreadTokens, unreadTokens + shape.maxOutputTokens());
 		target.add(this.load);
 	}
@@ -53,7 +50,7 @@
 		this.answering = true;
 		double millis = (nowNanos - this.sentNanos) / 1e6;
 		if (this.shape.service().engine().isPresent()) {
-			this.speed.promptRead(this.unreadTokens, this.queuedTokens, millis, this.target.pace());
+			this.speed.promptRead(this.load.unreadTokens(), this.queuedTokens, millis, this.target.pace());
 		}
 		FlightLoad read = new FlightLoad(this.target.id(), 0, this.load.unreadTokens(), 0);
 		this.target.remove(read);
--- a/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/gateway/GatewayTarget.java
+++ b/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/gateway/GatewayTarget.java
@@ -37,8 +37,6 @@
 
 	private FlightLoad others;
 
-	private long othersToldNanos;
-
 	GatewayTarget(TargetReport report, long nowNanos) {
 		this.chilledUntilNanos = nowNanos;
 		this.own = new FlightLoad(report.target(), 0, 0, 0);
@@ -141,16 +139,15 @@
 	/**
 	 * The prompt tokens that all VMs together sent of late, as far as known.
 	 * @param nowNanos the monotonic time
+	 * @param toldNanos the time since the others told what they have in flight
 	 * @return the tokens by the second
 	 */
-	double readTokensPerSecond(long nowNanos) {
-		return this.reading.tokensPerSecond(nowNanos)
-				+ this.others.fadedBy(nowNanos - this.othersToldNanos).readTokensPerSecond();
+	double readTokensPerSecond(long nowNanos, long toldNanos) {
+		return this.reading.tokensPerSecond(nowNanos) + this.others.fadedBy(toldNanos).readTokensPerSecond();
 	}
 
-	void setOthers(FlightLoad load, long nowNanos) {
+	void setOthers(FlightLoad load) {
 		this.others = load;
-		this.othersToldNanos = nowNanos;
 	}
 
 	void add(FlightLoad load) {
--- a/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/gateway/GatewayTargets.java
+++ b/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/gateway/GatewayTargets.java
@@ -166,8 +166,7 @@
 		this.othersToldNanos = nowNanos;
 		Map<TargetId, FlightLoad> byTarget = new HashMap<>();
 		loads.forEach((load) -> byTarget.merge(load.target(), load, FlightLoad::plus));
-		this.targets.forEach(
-				(id, target) -> target.setOthers(byTarget.getOrDefault(id, new FlightLoad(id, 0, 0, 0)), nowNanos));
+		this.targets.forEach((id, target) -> target.setOthers(byTarget.getOrDefault(id, new FlightLoad(id, 0, 0, 0))));
 	}
 
 	/**
@@ -199,21 +198,23 @@
 			long unread = Math.max(0, shape.promptTokens() - cached);
 			double wait = waitMillis(target, shape.service(), unread);
 			if (wait >= 0 && hasMemory(target, shape, unread)) {
-				double cost = cost(shape, wait, unread, target, nowNanos)
+				double readingShare = readingShare(target, nowNanos);
+				double cost = cost(shape, wait, unread, target, readingShare, nowNanos)
 						/ Math.max(0.1, 1 - target.health().failedShare());
-				candidates.add(new Candidate(target, wait, unread, cost));
+				candidates.add(new Candidate(target, wait, unread, readingShare, cost));
 			}
 		}
 		return best(candidates, nowNanos);
 	}
 
-	private double cost(RequestShape shape, double wait, long unread, GatewayTarget target, long nowNanos) {
+	private double cost(RequestShape shape, double wait, long unread, GatewayTarget target, double readingShare,
+			long nowNanos) {
 		if (shape.service().engine().isEmpty()) {
 			return wait;
 		}
 		ServiceSpeed speed = speed(shape.service().name());
 		double work = speed.readMillis(unread, target.pace());
-		double tooBusy = (readingShare(target, nowNanos) > shape.maxReadingShare()) ? TOO_BUSY_MILLIS : 0;
+		double tooBusy = (readingShare > shape.maxReadingShare()) ? TOO_BUSY_MILLIS : 0;
 		return wait + WORK_WEIGHT * work + tooBusy + heldUpMillis(shape, speed, unread, target, nowNanos);
 	}
 
@@ -243,12 +244,13 @@
 		TargetId runnerUp = (candidates.size() > 1) ? candidates.get((picked == 0) ? 1 : 0).target().id() : null;
 		long ageMillis = (this.othersToldNanos != 0) ? (nowNanos - this.othersToldNanos) / NANOS_PER_MILLI : -1;
 		return Optional.of(new Choice(best.target(), Math.round(best.expectedMillis()), best.unread(),
-				readingShare(best.target(), nowNanos), best.target().total(), ageMillis, runnerUp));
+				best.readingShare(), best.target().total(), ageMillis, runnerUp));
 	}
 
 	// by the tokens sent to it of late
 	private double readingShare(GatewayTarget target, long nowNanos) {
-		return target.readTokensPerSecond(nowNanos) / speed(target.report().service()).tokensPerSecond(target.pace());
+		return target.readTokensPerSecond(nowNanos, nowNanos - this.othersToldNanos)
+				/ speed(target.report().service()).tokensPerSecond(target.pace());
 	}
 
 	// requests with the same shared parts go to the same target from all VMs, so that the
@@ -366,7 +368,8 @@
 	/**
 	 * A target that a request may go to.
 	 */
-	private record Candidate(GatewayTarget target, double expectedMillis, long unread, double cost) {
+	private record Candidate(GatewayTarget target, double expectedMillis, long unread, double readingShare,
+			double cost) {
 	}
 
 }
--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/fleet/ControlFleet.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/fleet/ControlFleet.java
@@ -8,6 +8,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Predicate;
+import java.util.stream.Collectors;
 
 import io.netty.channel.EventLoop;
 import org.vanillatrestle.RegionId;
@@ -123,28 +124,28 @@
 
 	// an entry VM sends only to the targets of its own region
 	private void tellTargets(List<TargetReport> reports, Predicate<PeerIdentity> receivers) {
-		Map<RegionId, byte[]> byRegion = new HashMap<>();
-		byte[] all = FleetLinks.encode(new FleetNews.Targets(reports));
-		for (PeerIdentity peer : this.links.allPeers()) {
-			if (!receivers.test(peer)) {
-				continue;
-			}
-			if (this.links.isControl(peer.vm())) {
-				this.links.send(peer.vm(), all);
-				continue;
-			}
-			byte[] near = byRegion.computeIfAbsent(peer.region(), (region) -> encodeNear(reports, region));
-			if (near.length > 0) {
-				this.links.send(peer.vm(), near);
-			}
+		Map<Boolean, List<PeerIdentity>> told = this.links.allPeers()
+			.stream()
+			.filter(receivers)
+			.collect(Collectors.partitioningBy((peer) -> this.links.isControl(peer.vm())));
+		tell(reports, told.get(true));
+		told.get(false)
+			.stream()
+			.collect(Collectors.groupingBy(PeerIdentity::region))
+			.forEach((region, peers) -> tell(near(reports, region), peers));
+	}
+
+	private void tell(List<TargetReport> reports, List<PeerIdentity> receivers) {
+		if (!reports.isEmpty() && !receivers.isEmpty()) {
+			byte[] encoded = FleetLinks.encode(new FleetNews.Targets(reports));
+			receivers.forEach((peer) -> this.links.send(peer.vm(), encoded));
 		}
 	}
 
-	private byte[] encodeNear(List<TargetReport> reports, RegionId region) {
-		List<TargetReport> near = reports.stream()
+	private List<TargetReport> near(List<TargetReport> reports, RegionId region) {
+		return reports.stream()
 			.filter((report) -> this.links.regionOf(report.dataCentre()).map(region::equals).orElse(true))
 			.toList();
-		return near.isEmpty() ? new byte[0] : FleetLinks.encode(new FleetNews.Targets(near));
 	}
 
 	/**
--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/RemoteEntries.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/RemoteEntries.java
@@ -70,22 +70,27 @@
 	 */
 	void failed(VmId vm, RegionId region, boolean unreachable) {
 		long now = System.nanoTime();
+		forgetOld(now);
 		this.avoidedNanos.put(vm, now);
 		if (!unreachable) {
 			return;
 		}
-		boolean before = isUnreachable(region, now);
+		boolean before = isUnreachable(region);
 		Map<VmId, Long> vms = this.unreachableNanos.computeIfAbsent(region, (key) -> new HashMap<>());
 		vms.put(vm, now);
-		if (!before && isUnreachable(region, now)) {
+		if (!before && isUnreachable(region)) {
 			EventLog.write(EventKind.REGION_UNREACHABLE, "region", region, "vms", vms.keySet(), "avoidedMillis",
 					TimeUnit.NANOSECONDS.toMillis(AVOID_NANOS));
 		}
 	}
 
-	private boolean isUnreachable(RegionId region, long now) {
-		Map<VmId, Long> vms = this.unreachableNanos.getOrDefault(region, Map.of());
-		return vms.values().stream().filter((since) -> now - since <= AVOID_NANOS).count() >= UNREACHABLE_VMS;
+	private void forgetOld(long now) {
+		this.avoidedNanos.values().removeIf((since) -> now - since > AVOID_NANOS);
+		this.unreachableNanos.values().forEach((vms) -> vms.values().removeIf((since) -> now - since > AVOID_NANOS));
+	}
+
+	private boolean isUnreachable(RegionId region) {
+		return this.unreachableNanos.getOrDefault(region, Map.of()).size() >= UNREACHABLE_VMS;
 	}
 
 	/**
@@ -96,14 +101,12 @@
 	 * @return the choice, empty if no VM has room
 	 */
 	Optional<RemoteChoice> choose(DeclaredRoute route, ServiceName service, Set<VmId> tried) {
-		long now = System.nanoTime();
-		this.avoidedNanos.values().removeIf((since) -> now - since > AVOID_NANOS);
-		this.unreachableNanos.values().forEach((vms) -> vms.values().removeIf((since) -> now - since > AVOID_NANOS));
+		forgetOld(System.nanoTime());
 		List<RemoteChoice> best = new ArrayList<>();
 		long bestWait = Long.MAX_VALUE;
 		for (EntryReport entry : this.entries) {
 			boolean usable = route.allows(entry.region()) && !tried.contains(entry.vm())
-					&& !this.avoidedNanos.containsKey(entry.vm()) && !isUnreachable(entry.region(), now);
+					&& !this.avoidedNanos.containsKey(entry.vm()) && !isUnreachable(entry.region());
 			Optional<ServiceWait> told = usable ? waitOf(entry, service) : Optional.empty();
 			long wait = told.map(ServiceWait::waitMillis).orElse(-1L);
 			if (wait < 0 || wait > bestWait) {
--- a/vanillatrestle-wire/src/main/java/org/vanillatrestle/wire/DocumentPacking.java
+++ b/vanillatrestle-wire/src/main/java/org/vanillatrestle/wire/DocumentPacking.java
@@ -1,9 +1,12 @@
 package org.vanillatrestle.wire;
 
-import java.io.ByteArrayOutputStream;
-import java.util.zip.DataFormatException;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
+import java.io.UncheckedIOException;
 import java.util.zip.Deflater;
-import java.util.zip.Inflater;
+import java.util.zip.DeflaterOutputStream;
+import java.util.zip.InflaterInputStream;
 
 import com.google.protobuf.ByteString;
 
@@ -19,8 +22,6 @@
 	 */
 	private static final int MAX_BYTES = 64 * 1_024 * 1_024;
 
-	private static final int CHUNK_BYTES = 16_384;
-
 	private DocumentPacking() {
 	}
 
@@ -31,19 +32,17 @@
 	 */
 	static ByteString pack(byte[] document) {
 		Deflater deflater = new Deflater(Deflater.BEST_SPEED);
-		try {
-			deflater.setInput(document);
-			deflater.finish();
-			ByteString.Output packed = ByteString.newOutput();
-			byte[] chunk = new byte[CHUNK_BYTES];
-			while (!deflater.finished()) {
-				packed.write(chunk, 0, deflater.deflate(chunk));
-			}
-			return packed.toByteString();
+		ByteString.Output packed = ByteString.newOutput();
+		try (OutputStream output = new DeflaterOutputStream(packed, deflater)) {
+			output.write(document);
+		}
+		catch (IOException ex) {
+			throw new UncheckedIOException("A document could not be packed in memory.", ex);
 		}
 		finally {
 			deflater.end();
 		}
+		return packed.toByteString();
 	}
 
 	/**
@@ -53,26 +52,16 @@
 	 * @throws IllegalArgumentException if the bytes are no packed document
 	 */
 	static byte[] unpack(ByteString packed) {
-		Inflater inflater = new Inflater();
-		try {
-			inflater.setInput(packed.toByteArray());
-			ByteArrayOutputStream document = new ByteArrayOutputStream();
-			byte[] chunk = new byte[CHUNK_BYTES];
-			while (!inflater.finished()) {
-				int count = inflater.inflate(chunk);
-				if ((count == 0 && !inflater.finished()) || document.size() > MAX_BYTES) {
-					throw new IllegalArgumentException("a packed document is cut short or too large");
-				}
-				document.write(chunk, 0, count);
+		try (InputStream input = new InflaterInputStream(packed.newInput())) {
+			byte[] document = input.readNBytes(MAX_BYTES + 1);
+			if (document.length > MAX_BYTES) {
+				throw new IllegalArgumentException("a packed document is too large");
 			}
-			return document.toByteArray();
+			return document;
 		}
-		catch (DataFormatException ex) {
+		catch (IOException ex) {
 			throw new IllegalArgumentException("a packed document can't be read", ex);
 		}
-		finally {
-			inflater.end();
-		}
 	}
 
 }
