Obey targets that leave or ask for a pause; name no foreign region for bound hosts

Cause: the platform's new rules. A target that leaves says so in every answer, and one that turns a request away with 503 and Retry-After wants nothing from that VM meanwhile; neither header was read. A report of a target that came after it had drained took it back.

Change: TargetTable keeps the later of two conditions of an incarnation whatever the order of the news; an entry VM that reads Server-Leaving drains the target at once and tells the control VMs. A pause binds choices, trials and outlooks; where all targets ask for one, a request is refused at once with the time at which the first is open again. For a host with homes the directory names VMs of the caller's region and the homes only.

--- a/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/fleet/TargetCondition.java
+++ b/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/fleet/TargetCondition.java
@@ -3,7 +3,8 @@
 /**
  * What a target says of itself.
  * <p>
- * Immutable and thread safe.
+ * Immutable and thread safe. In order: an incarnation never goes back to an earlier
+ * condition.
  */
 public enum TargetCondition {
 
@@ -20,6 +21,15 @@
 	/**
 	 * It has left or was replaced.
 	 */
-	GONE
+	GONE;
+
+	/**
+	 * Returns the later of two conditions of one incarnation.
+	 * @param other the other condition
+	 * @return the one that holds
+	 */
+	TargetCondition orLater(TargetCondition other) {
+		return (compareTo(other) >= 0) ? this : other;
+	}
 
 }
--- a/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/fleet/TargetTable.java
+++ b/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/fleet/TargetTable.java
@@ -15,8 +15,9 @@
  * The targets known to a VM, merged from reports that may come late, twice and out of
  * order.
  * <p>
- * Invariants: an incarnation that is gone never comes back; of two targets at one address
- * only the one that started last is not gone. Not thread safe.
+ * Invariants: an incarnation that leaves or is gone never comes back, whatever later
+ * reports say; of two targets at one address only the one that started last is not gone.
+ * Not thread safe.
  */
 public final class TargetTable {
 
@@ -42,9 +43,9 @@
 			return List.of();
 		}
 		List<TargetReport> changes = new ArrayList<>();
-		TargetReport kept = report;
-		if (report.condition() != TargetCondition.GONE && !claimAddress(report, nowNanos, changes)) {
-			kept = report.with(TargetCondition.GONE);
+		TargetReport kept = (row != null) ? row.merge(report, nowNanos) : report;
+		if (kept.condition() != TargetCondition.GONE && !claimAddress(kept, nowNanos, changes)) {
+			kept = kept.with(TargetCondition.GONE);
 		}
 		boolean changed = row == null || isChange(row, kept, nowNanos);
 		if (row != null && !row.report.address().equals(kept.address())) {
@@ -62,8 +63,8 @@
 
 	private static boolean isOutdated(TargetReport known, TargetReport report) {
 		if (known.bornMillis() == report.bornMillis()) {
-			boolean leaves = report.condition() == TargetCondition.GONE;
-			return known.condition() == TargetCondition.GONE || (report.isOlderThan(known) && !leaves);
+			boolean goesOn = report.condition().compareTo(known.condition()) > 0;
+			return known.condition() == TargetCondition.GONE || (report.isOlderThan(known) && !goesOn);
 		}
 		return report.isOlderThan(known);
 	}
@@ -97,11 +98,29 @@
 	 * @return the report that it is gone, empty if the target is unknown or gone already
 	 */
 	public Optional<TargetReport> leave(TargetId target, long nowNanos) {
+		return advance(target, TargetCondition.GONE, nowNanos);
+	}
+
+	/**
+	 * Notes that an incarnation of a target said in an answer that it is leaving.
+	 * @param target the target
+	 * @param bornMillis when the incarnation started, in Unix time
+	 * @param nowNanos the monotonic time
+	 * @return the report that it drains, empty if that is known or the incarnation is not
+	 * the latest one
+	 */
+	public Optional<TargetReport> drain(TargetId target, long bornMillis, long nowNanos) {
+		Row row = this.rows.get(target);
+		boolean latest = row != null && row.report.bornMillis() == bornMillis;
+		return latest ? advance(target, TargetCondition.DRAINING, nowNanos) : Optional.empty();
+	}
+
+	private Optional<TargetReport> advance(TargetId target, TargetCondition condition, long nowNanos) {
 		Row row = this.rows.get(target);
-		if (row == null || row.report.condition() == TargetCondition.GONE) {
+		if (row == null || row.report.condition().compareTo(condition) >= 0) {
 			return Optional.empty();
 		}
-		return merge(row.report.with(TargetCondition.GONE), nowNanos).stream().findFirst();
+		return merge(row.current(nowNanos).with(condition), nowNanos).stream().findFirst();
 	}
 
 	/**
@@ -112,7 +131,7 @@
 	public List<TargetReport> all(long nowNanos) {
 		Collection<Row> known = this.rows.values();
 		known.removeIf((row) -> row.report.condition() == TargetCondition.GONE && nowNanos - row.nanos > MEMORY_NANOS);
-		return known.stream().map((row) -> row.report.withColdLeft(row.coldLeftMillis(nowNanos))).toList();
+		return known.stream().map((row) -> row.current(nowNanos)).toList();
 	}
 
 	/**
@@ -129,6 +148,19 @@
 	 */
 	private record Row(TargetReport report, long nanos) {
 
+		TargetReport current(long nowNanos) {
+			return this.report.withColdLeft(coldLeftMillis(nowNanos));
+		}
+
+		// of an older report of the same incarnation only a later condition counts
+		TargetReport merge(TargetReport newer, long nowNanos) {
+			if (this.report.bornMillis() != newer.bornMillis()) {
+				return newer;
+			}
+			TargetReport base = newer.isOlderThan(this.report) ? current(nowNanos) : newer;
+			return base.with(this.report.condition().orLater(newer.condition()));
+		}
+
 		long coldLeftMillis(long nowNanos) {
 			return Math.max(0, this.report.coldLeftMillis() - TimeUnit.NANOSECONDS.toMillis(nowNanos - this.nanos));
 		}
--- a/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/gateway/Flight.java
+++ b/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/gateway/Flight.java
@@ -15,6 +15,8 @@
 
 	private final RequestShape shape;
 
+	private final long bornMillis;
+
 	private final long sentNanos;
 
 	private final long queuedTokens;
@@ -29,6 +31,7 @@
 		this.target = target;
 		this.speed = speed;
 		this.shape = shape;
+		this.bornMillis = target.report().bornMillis();
 		this.sentNanos = nowNanos;
 		this.queuedTokens = target.total().unreadTokens();
 		this.load = new FlightLoad(target.id(), 1, unreadTokens, unreadTokens + shape.maxOutputTokens());
@@ -39,6 +42,26 @@
 		return this.target;
 	}
 
+	/**
+	 * When the incarnation started to which the request was sent.
+	 * @return the time in Unix milliseconds
+	 */
+	public long bornMillis() {
+		return this.bornMillis;
+	}
+
+	/**
+	 * The target turned the request away and wants no others for a while.
+	 * @param millis for how long
+	 * @param nowNanos the monotonic time
+	 */
+	public void pauseAsked(long millis, long nowNanos) {
+		if (this.target.report().bornMillis() == this.bornMillis) {
+			this.target.pause(millis, nowNanos);
+		}
+		end();
+	}
+
 	/**
 	 * The first part of the answer has come.
 	 * @param nowNanos the monotonic time
--- a/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/gateway/GatewayTarget.java
+++ b/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/gateway/GatewayTarget.java
@@ -15,6 +15,8 @@
 
 	private static final long NEW_NANOS = TimeUnit.SECONDS.toNanos(4);
 
+	private static final long NANOS_PER_MILLI = TimeUnit.MILLISECONDS.toNanos(1);
+
 	private final PrefixCache prefixes = new PrefixCache();
 
 	private final ColdGate coldGate = new ColdGate();
@@ -31,6 +33,8 @@
 
 	private long chilledUntilNanos;
 
+	private long pausedUntilNanos;
+
 	private long startedNanos;
 
 	private FlightLoad own;
@@ -39,6 +43,7 @@
 
 	GatewayTarget(TargetReport report, long nowNanos) {
 		this.chilledUntilNanos = nowNanos;
+		this.pausedUntilNanos = nowNanos;
 		this.own = new FlightLoad(report.target(), 0, 0, 0);
 		this.others = this.own;
 		update(report, nowNanos);
@@ -58,6 +63,7 @@
 			this.prefixes.clear();
 			this.health = new TargetHealth();
 			this.pace = new TargetPace();
+			this.pausedUntilNanos = nowNanos;
 		}
 		this.report = newer;
 		this.coldUntilNanos = nowNanos + TimeUnit.MILLISECONDS.toNanos(newer.coldLeftMillis());
@@ -72,6 +78,29 @@
 		this.chilledUntilNanos = nowNanos + TimeUnit.MILLISECONDS.toNanos(millis);
 	}
 
+	/**
+	 * Sends nothing for a while, as the target asked for it. A pause is never shortened
+	 * by a later answer.
+	 * @param millis for how long
+	 * @param nowNanos the monotonic time
+	 */
+	void pause(long millis, long nowNanos) {
+		long untilNanos = nowNanos + TimeUnit.MILLISECONDS.toNanos(millis);
+		if (untilNanos - this.pausedUntilNanos > 0) {
+			this.pausedUntilNanos = untilNanos;
+		}
+	}
+
+	/**
+	 * Returns for how much longer the target wants nothing from this VM.
+	 * @param nowNanos the monotonic time
+	 * @return the time, 0 if it takes requests
+	 */
+	long pausedMillis(long nowNanos) {
+		long leftNanos = Math.max(0, this.pausedUntilNanos - nowNanos);
+		return TimeUnit.NANOSECONDS.toMillis(leftNanos + NANOS_PER_MILLI - 1);
+	}
+
 	public TargetReport report() {
 		return this.report;
 	}
--- a/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/gateway/GatewayTargets.java
+++ b/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/gateway/GatewayTargets.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.SortedSet;
 import java.util.TreeSet;
@@ -284,7 +285,7 @@
 	}
 
 	private boolean isUsable(GatewayTarget target, DeclaredService service, long nowNanos) {
-		if (!isOffered(target, service) || target.health().isEjected(nowNanos)) {
+		if (!isOffered(target, service) || target.health().isEjected(nowNanos) || target.pausedMillis(nowNanos) > 0) {
 			return false;
 		}
 		if (target.health().isOnTrial() && target.own().requests() > 0) {
@@ -355,6 +356,22 @@
 		return Math.round(speed(shape.service().name()).readMillis(unread));
 	}
 
+	/**
+	 * Tells when the first target takes requests again where all have asked this VM for a
+	 * pause.
+	 * @param service the service
+	 * @param nowNanos the monotonic time
+	 * @return the time from now, empty if there is no target or one that asked for none
+	 */
+	public OptionalLong openAgainMillis(DeclaredService service, long nowNanos) {
+		OptionalLong first = this.targets.values()
+			.stream()
+			.filter((target) -> isOffered(target, service))
+			.mapToLong((target) -> target.pausedMillis(nowNanos))
+			.min();
+		return (first.isPresent() && first.getAsLong() > 0) ? first : OptionalLong.empty();
+	}
+
 	/**
 	 * Estimates how one more request of a service would fare.
 	 * @param service the service
--- a/vanillatrestle-core/src/test/java/org/vanillatrestle/internal/fleet/TargetTableTests.java
+++ b/vanillatrestle-core/src/test/java/org/vanillatrestle/internal/fleet/TargetTableTests.java
@@ -41,6 +41,22 @@
 		assertThat(condition("a")).isEqualTo(TargetCondition.GONE);
 	}
 
+	@Test
+	void shouldNotTakeBackAnIncarnationThatLeaves() {
+		this.table.merge(report("a", 1, 5, TargetCondition.DRAINING, 80), 0);
+		assertThat(this.table.merge(report("a", 1, 6, TargetCondition.READY, 80), 0)).isEmpty();
+		assertThat(condition("a")).isEqualTo(TargetCondition.DRAINING);
+	}
+
+	@Test
+	void shouldBelieveThatATargetLeavesThoughTheNewsCarryAnOlderSequence() {
+		this.table.merge(report("a", 1, 5, TargetCondition.READY, 80), 0);
+		assertThat(this.table.merge(report("a", 1, 2, TargetCondition.DRAINING, 80), 0)).hasSize(1);
+		assertThat(this.table.find(new TargetId("a")).orElseThrow().sequence()).isEqualTo(5);
+		this.table.merge(report("a", 1, 4, TargetCondition.READY, 80), 0);
+		assertThat(condition("a")).isEqualTo(TargetCondition.DRAINING);
+	}
+
 	@Test
 	void shouldTakeANewIncarnationUnderTheSameName() {
 		this.table.merge(report("a", 1, 500, TargetCondition.READY, 80), 0);
--- a/vanillatrestle-core/src/test/java/org/vanillatrestle/internal/gateway/GatewayTargetsTests.java
+++ b/vanillatrestle-core/src/test/java/org/vanillatrestle/internal/gateway/GatewayTargetsTests.java
@@ -57,6 +57,35 @@
 		assertThat(choose(MODEL, 100)).isEmpty();
 	}
 
+	@Test
+	void shouldSendNothingToATargetThatAskedForAPause() {
+		add("a", PLAIN, TargetCondition.READY, 0);
+		add("b", PLAIN, TargetCondition.READY, 0);
+		assertThat(this.targets.openAgainMillis(PLAIN, 0)).isEmpty();
+		Choice paused = choose(PLAIN, 0).orElseThrow();
+		this.targets.begin(paused, shape(PLAIN, 0), 0).pauseAsked(2_000, 0);
+		long soon = TimeUnit.MILLISECONDS.toNanos(1_900);
+		for (int i = 0; i < 20; i++) {
+			assertThat(this.targets.choose(shape(PLAIN, 0), Set.of(), soon).orElseThrow().target().id())
+				.isNotEqualTo(paused.target().id());
+		}
+		assertThat(this.targets.openAgainMillis(PLAIN, soon)).isEmpty();
+		Choice other = this.targets.choose(shape(PLAIN, 0), Set.of(), soon).orElseThrow();
+		this.targets.begin(other, shape(PLAIN, 0), soon).pauseAsked(5_000, soon);
+		assertThat(this.targets.choose(shape(PLAIN, 0), Set.of(), soon)).isEmpty();
+		assertThat(this.targets.openAgainMillis(PLAIN, soon)).hasValue(100);
+		assertThat(this.targets.choose(shape(PLAIN, 0), Set.of(), TimeUnit.MILLISECONDS.toNanos(2_001))).isPresent();
+	}
+
+	@Test
+	void shouldLetANewIncarnationServeThoughTheFormerOneAskedForAPause() {
+		add("a", PLAIN, TargetCondition.READY, 0);
+		this.targets.begin(choose(PLAIN, 0).orElseThrow(), shape(PLAIN, 0), 0).pauseAsked(600_000, 0);
+		assertThat(choose(PLAIN, 0)).isEmpty();
+		this.targets.update(report("a", PLAIN, TargetCondition.READY, 0, 2), 0);
+		assertThat(choose(PLAIN, 0)).isPresent();
+	}
+
 	@Test
 	void shouldSendNothingToATargetOfAnotherService() {
 		add("a", PLAIN, TargetCondition.READY, 0);
--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/fleet/EntryFleet.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/fleet/EntryFleet.java
@@ -5,6 +5,7 @@
 import java.util.function.Supplier;
 
 import io.netty.channel.EventLoop;
+import org.vanillatrestle.TargetId;
 import org.vanillatrestle.VmId;
 import org.vanillatrestle.internal.declaration.DeclaredState;
 import org.vanillatrestle.internal.fleet.EntryReport;
@@ -121,6 +122,20 @@
 		tellLoads(this.follower.loads(), true);
 	}
 
+	/**
+	 * Notes that a target said in an answer that it is leaving, and tells the others.
+	 * @param target the target
+	 * @param bornMillis when the incarnation that answered started, in Unix time
+	 */
+	public void targetLeaves(TargetId target, long bornMillis) {
+		this.targets.drain(target, bornMillis, System.nanoTime()).ifPresent((report) -> {
+			ControlFleet.logChange(report);
+			this.follower.targetChanged(report);
+			byte[] news = FleetLinks.encode(new FleetNews.Targets(List.of(report)));
+			this.links.controlPeers().forEach((peer) -> this.links.send(peer.vm(), news));
+		});
+	}
+
 	private void tellLoads(List<FlightLoad> loads, boolean urgent) {
 		this.loadNews.told(loads, System.nanoTime());
 		List<PeerIdentity> nearest = this.links.nearestControlPeers();
--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/ControlPart.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/ControlPart.java
@@ -181,11 +181,11 @@
 			chosen = select(ready, (entry) -> entry.region().equals(call.region()));
 		}
 		if (chosen.isEmpty()) {
+			// where routes are bound to homes, callers do better with the addresses they
+			// know
+			// than with a VM of a region that may not have their requests
 			Set<RegionId> homes = this.declaration.map((known) -> known.homesOf(call.host())).orElse(Set.of());
-			chosen = select(ready, (entry) -> homes.contains(entry.region()));
-		}
-		if (chosen.isEmpty()) {
-			chosen = select(ready, (entry) -> true);
+			chosen = select(ready, (entry) -> homes.isEmpty() || homes.contains(entry.region()));
 		}
 		if (chosen.isEmpty()) {
 			return Optional.empty();
--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/EntryPart.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/EntryPart.java
@@ -111,7 +111,8 @@
 		TargetClient client = closer.add(new TargetClient(loop, CONNECT_TIMEOUT_MILLIS, true));
 		this.fleet = new EntryFleet(links, loop, this::report, this);
 		this.callers = new CallerRoute(new GatewayContext(loop, settings.region(), protocol, this.targets, this.remotes,
-				client, this.budget, this.journal, random, () -> this.fleet.tellLoadsUrgently()));
+				client, this.budget, this.journal, random, () -> this.fleet.tellLoadsUrgently(),
+				(target, bornMillis) -> this.fleet.targetLeaves(target, bornMillis)));
 	}
 
 	public EntryFleet fleet() {
--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/GatewayContext.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/GatewayContext.java
@@ -1,8 +1,11 @@
 package org.vanillatrestle.daemon.internal.gateway;
 
+import java.util.function.ObjLongConsumer;
+
 import io.netty.channel.EventLoop;
 import org.apache.commons.rng.UniformRandomProvider;
 import org.vanillatrestle.RegionId;
+import org.vanillatrestle.TargetId;
 import org.vanillatrestle.daemon.internal.target.TargetClient;
 import org.vanillatrestle.daemon.protocol.GatewayProtocol;
 import org.vanillatrestle.internal.gateway.GatewayTargets;
@@ -23,8 +26,10 @@
  * @param journal logs and counts what becomes of requests
  * @param random picks services by weight
  * @param largeLoad told when a request that weighs much was sent to a target
+ * @param leaving told the incarnation of a target whose answer says that it leaves, with
+ * the time of its start
  */
 record GatewayContext(EventLoop loop, RegionId region, GatewayProtocol protocol, GatewayTargets targets,
 		RemoteEntries remotes, TargetClient client, RetryBudget budget, RequestJournal journal,
-		UniformRandomProvider random, Runnable largeLoad) {
+		UniformRandomProvider random, Runnable largeLoad, ObjLongConsumer<TargetId> leaving) {
 }
--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/RoutedAttempt.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/RoutedAttempt.java
@@ -181,6 +181,7 @@
 		if (this.remote.isPresent() && verdict != null) {
 			this.remoteVerdict = (verdict.equals(Verdict.NOT_RUN.name())) ? Verdict.NOT_RUN : Verdict.MAY_HAVE_RUN;
 		}
+		noteWish();
 		if (this.status / 100 == 2 && !this.facts.signed()) {
 			this.handle.cancel();
 			onFailure(Verdict.MAY_HAVE_RUN, "a success without signature");
@@ -194,6 +195,22 @@
 		}
 	}
 
+	// an answer also says whether the target wants further requests
+	private void noteWish() {
+		this.flight.ifPresent((sent) -> {
+			if (this.facts.leaving()) {
+				this.request.context().leaving().accept(sent.target().id(), sent.bornMillis());
+			}
+			if (this.facts.pauseMillis() > 0) {
+				sent.pauseAsked(this.facts.pauseMillis(), System.nanoTime());
+				this.request.context()
+					.journal()
+					.log(EventKind.TARGET_PAUSED, "target", this.place, "request", this.request.id(), "born",
+							sent.bornMillis(), "millis", this.facts.pauseMillis());
+			}
+		});
+	}
+
 	@Override
 	public void onBody(ByteBuf data) {
 		if (this.request.relay().isBegun() && this.status / 100 != 2) {
--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/RoutedRequest.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/RoutedRequest.java
@@ -2,6 +2,7 @@
 
 import java.util.HashSet;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 
@@ -148,6 +149,11 @@
 	}
 
 	private void waitForRoom() {
+		OptionalLong openAgain = this.context.targets().openAgainMillis(this.shape.service(), System.nanoTime());
+		if (openAgain.isPresent()) {
+			refuse((this.sends == 0) ? GatewayRefusal.NO_CAPACITY : GatewayRefusal.NOT_RUN, openAgain.getAsLong());
+			return;
+		}
 		if (waitedMillis() < WAIT_PART * this.route.objectiveMillis()) {
 			this.waiting = this.context.loop().schedule(this::place, WAIT_STEP_MILLIS, TimeUnit.MILLISECONDS);
 			return;
--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/logging/EventKind.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/logging/EventKind.java
@@ -37,6 +37,8 @@
 	REPORT_REFUSED,
 	/** A target gets no requests for a while. */
 	TARGET_EJECTED,
+	/** A target wants no requests from this VM for a while. */
+	TARGET_PAUSED,
 	/** A request was sent to a target. */
 	PLACED,
 	/** An attempt ended without a whole answer. */
