--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/GatewayProcess.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/GatewayProcess.java
@@ -5,6 +5,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.Arrays;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 
 import org.vanillatrestle.InvalidDocumentException;
@@ -78,7 +79,7 @@
 	public static GatewayProcess start(Path file, SettingsFormat format, GatewayProtocol protocol)
 			throws IOException, InvalidDocumentException {
 		GatewayProcess process = new GatewayProcess(file, format);
-		process.node = GatewayNode.start(process.readSettings(), protocol);
+		process.node = GatewayNode.start(process.readChangedSettings().orElseThrow(), protocol);
 		return process;
 	}
 
@@ -96,9 +97,14 @@
 		Runtime.getRuntime().halt(0);
 	}
 
-	private GatewaySettings readSettings() throws IOException, InvalidDocumentException {
-		this.read = Files.readAllBytes(this.file);
-		return this.format.read(this.read);
+	// parsed only where the bytes are new: the file is looked at once a second
+	private Optional<GatewaySettings> readChangedSettings() throws IOException, InvalidDocumentException {
+		byte[] current = Files.readAllBytes(this.file);
+		if (Arrays.equals(current, this.read)) {
+			return Optional.empty();
+		}
+		this.read = current;
+		return Optional.of(this.format.read(current));
 	}
 
 	private void watch() throws InterruptedException {
@@ -109,13 +115,9 @@
 		}
 	}
 
-	private synchronized void reload() {
+	synchronized void reload() {
 		try {
-			byte[] before = this.read;
-			GatewaySettings changed = readSettings();
-			if (!Arrays.equals(before, this.read)) {
-				this.node.reload(changed);
-			}
+			readChangedSettings().ifPresent(this.node::reload);
 		}
 		catch (IOException | InvalidDocumentException ex) {
 			EventLog.write(EventKind.RELOADED, "failure", ex.getMessage());
