--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/ControlPart.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/ControlPart.java
@@ -68,6 +68,12 @@
 
 	private static final long HEARTBEAT_MILLIS = 150;
 
+	/**
+	 * Changes come a few times a minute and a snapshot takes some 10 KB and two syncs, so
+	 * that each change has one.
+	 */
+	private static final int SNAPSHOT_ENTRIES = 1;
+
 	private final GatewaySettings settings;
 
 	private final GatewayProtocol protocol;
@@ -123,11 +129,13 @@
 		this.metrics.gauge("declared.version", () -> this.declaration.map(Declaration::version).orElse(0L));
 	}
 
+	// a snapshot holds what is committed for certain, so that a VM that starts can tell
+	// it
+	// before a leader is elected
 	private static LogSettings logSettings(LogSettings defaults) {
 		return new LogSettings(TimeUnit.MILLISECONDS.toNanos(HEARTBEAT_MILLIS),
 				TimeUnit.MILLISECONDS.toNanos(ELECTION_TIMEOUT_MILLIS), defaults.batchBytes(), defaults.windowBytes(),
-				defaults.chunkBytes(), defaults.compactionBytes(), defaults.compactionEntries(),
-				defaults.trailingBytes());
+				defaults.chunkBytes(), defaults.compactionBytes(), SNAPSHOT_ENTRIES, defaults.trailingBytes());
 	}
 
 	// of the many states of a replay only the last is told
