Parse told addresses once, and gather loads without streams

Cause: an entry VM is told the addresses of all control VMs some 16 times a second (96 texts of six control VMs), and parsed each anew into socket addresses, its own too at each dial; ten times a second it made a load record of every target to leave most of them out.

Change: FleetLinks keeps the parsed addresses with those that it dials; EntryPart asks a target whether it is idle before it makes a record.

Ruled out by the profile: a single hot spot; samples are spread over the HTTP pipeline, beats (7 in 100 of the event loop), loads (5) and news (5).

--- a/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/gateway/GatewayTarget.java
+++ b/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/gateway/GatewayTarget.java
@@ -156,6 +156,16 @@
 				Math.round(this.reading.tokensPerSecond(nowNanos)), this.pace.longestPauseMillis(nowNanos));
 	}
 
+	/**
+	 * Tells whether this VM has nothing in flight, and sent next to nothing to be read of
+	 * late.
+	 * @param nowNanos the monotonic time
+	 * @return whether its own load is not worth telling
+	 */
+	public boolean isIdle(long nowNanos) {
+		return this.own.requests() == 0 && Math.round(this.reading.tokensPerSecond(nowNanos)) == 0;
+	}
+
 	/**
 	 * The longest pause of a stream of late that any VM saw, as far as known.
 	 * @param nowNanos the monotonic time
--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/fleet/FleetLinks.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/fleet/FleetLinks.java
@@ -63,6 +63,13 @@
 
 	private final Map<InetSocketAddress, Long> dialledNanos = new HashMap<>();
 
+	/**
+	 * The addresses told, parsed: each is told again many times a second.
+	 */
+	private final Map<String, InetSocketAddress> parsed = new HashMap<>();
+
+	private final InetSocketAddress ownAddress;
+
 	private Set<InetSocketAddress> seeds;
 
 	private FleetListener listener;
@@ -77,6 +84,7 @@
 	public FleetLinks(GatewaySettings settings, EventLoop loop, UniformRandomProvider random) throws IOException {
 		this.settings = settings;
 		this.loop = loop;
+		this.ownAddress = ownAddress().toSocketAddress();
 		setSeeds(settings.seeds());
 		this.node = new PeerNode(loop, PEER_SETTINGS, null, new Handler(), (exchange) -> {
 			throw new IllegalStateException("requests are not forwarded over the links of a declared deployment");
@@ -133,8 +141,15 @@
 	 * @param address the address, as {@code host:port}
 	 */
 	void told(String address) {
+		InetSocketAddress known = this.parsed.get(address);
+		if (known != null) {
+			dial(known);
+			return;
+		}
 		try {
-			dial(HostAndPort.parse(address, "controlAddresses").toSocketAddress());
+			InetSocketAddress first = HostAndPort.parse(address, "controlAddresses").toSocketAddress();
+			this.parsed.put(address, first);
+			dial(first);
 		}
 		catch (InvalidDocumentException ex) {
 			EventLog.write(EventKind.REPORT_REFUSED, "address", address, "reason", ex.getMessage());
@@ -142,7 +157,7 @@
 	}
 
 	private void dial(InetSocketAddress address) {
-		if (!address.equals(ownAddress().toSocketAddress())) {
+		if (!address.equals(this.ownAddress)) {
 			this.dialledNanos.put(address, System.nanoTime());
 			this.node.connect(address);
 		}
@@ -163,6 +178,7 @@
 			boolean old = now - entry.getValue() > ADDRESS_MEMORY_NANOS;
 			if (old) {
 				this.node.disconnect(entry.getKey());
+				this.parsed.values().remove(entry.getKey());
 			}
 			return old;
 		});
--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/EntryPart.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/EntryPart.java
@@ -1,6 +1,7 @@
 package org.vanillatrestle.daemon.internal.gateway;
 
 import java.io.IOException;
+import java.util.ArrayList;
 import java.util.Collection;
 import java.util.List;
 import java.util.Optional;
@@ -34,6 +35,7 @@
 import org.vanillatrestle.internal.fleet.TargetReport;
 import org.vanillatrestle.internal.gateway.Choice;
 import org.vanillatrestle.internal.gateway.ColdShare;
+import org.vanillatrestle.internal.gateway.GatewayTarget;
 import org.vanillatrestle.internal.gateway.GatewayTargets;
 import org.vanillatrestle.internal.gateway.RetryBudget;
 
@@ -217,11 +219,13 @@
 	@Override
 	public List<FlightLoad> loads() {
 		long now = System.nanoTime();
-		return this.targets.all()
-			.stream()
-			.map((target) -> target.own(now))
-			.filter((load) -> load.requests() > 0 || load.readTokensPerSecond() > 0)
-			.toList();
+		List<FlightLoad> loads = new ArrayList<>();
+		for (GatewayTarget target : this.targets.all()) {
+			if (!target.isIdle(now)) {
+				loads.add(target.own(now));
+			}
+		}
+		return loads;
 	}
 
 	@Override
