Measure the progress of a stream in whole events, and its silence by its route

A target that drips bytes which never end an event counted as making progress, so that its stream was left only when it broke off or the route's time was over; and a stream was left for another target after 1.2 s of silence though its route wants pauses of up to 2 s (gap-target-ms).

Change: RoutedAttempt counts whole events that the caller was sent as progress of a stream, and waits 1.5 times the longest pause wanted, 1.2 s at least.

--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/RoutedAttempt.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/RoutedAttempt.java
@@ -44,6 +44,11 @@
 	 */
 	private static final long STREAM_STALL_MILLIS = 1_200;
 
+	/**
+	 * How many times the longest pause wanted between events counts as no progress.
+	 */
+	private static final double PAUSE_STALL_FACTOR = 1.5;
+
 	private static final long FIRST_EVENT_STALL_MILLIS = 1_500;
 
 	private final RoutedRequest request;
@@ -124,7 +129,8 @@
 		if (!this.request.route().isStreaming()) {
 			return Math.max(objective / 2, STALL_FACTOR * this.expectedMillis);
 		}
-		return this.progressed ? STREAM_STALL_MILLIS
+		long pauseMillis = Math.round(PAUSE_STALL_FACTOR * this.request.route().pauseObjectiveMillis());
+		return this.progressed ? Math.max(STREAM_STALL_MILLIS, pauseMillis)
 				: Math.max(FIRST_EVENT_STALL_MILLIS, STALL_FACTOR * this.expectedMillis);
 	}
 
@@ -217,14 +223,12 @@
 			data.release();
 			return;
 		}
-		long now = System.nanoTime();
-		if (this.progressed && this.status / 100 == 2) {
-			long pauseMillis = TimeUnit.NANOSECONDS.toMillis(now - this.progressNanos);
-			this.flight.ifPresent((sent) -> sent.paused(pauseMillis, now));
+		boolean eventSent = this.request.relay().body(data);
+		// bytes that end no event are no progress of a stream
+		if (eventSent || !this.request.route().isStreaming()) {
+			progress(System.nanoTime());
 		}
-		this.progressNanos = now;
-		this.progressed = true;
-		if (this.request.relay().body(data)) {
+		if (eventSent) {
 			this.request.partSent();
 		}
 		if (this.request.relay().hasGap()) {
@@ -233,6 +237,15 @@
 		}
 	}
 
+	private void progress(long now) {
+		if (this.progressed && this.status / 100 == 2) {
+			long pauseMillis = TimeUnit.NANOSECONDS.toMillis(now - this.progressNanos);
+			this.flight.ifPresent((sent) -> sent.paused(pauseMillis, now));
+		}
+		this.progressNanos = now;
+		this.progressed = true;
+	}
+
 	@Override
 	public void onEnd() {
 		this.done = true;
