--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/ControlPart.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/ControlPart.java
@@ -129,9 +129,8 @@
 		this.metrics.gauge("declared.version", () -> this.declaration.map(Declaration::version).orElse(0L));
 	}
 
-	// a snapshot holds what is committed for certain, so that a VM that starts can tell
-	// it
-	// before a leader is elected
+	// a snapshot holds what is committed for certain: a VM that starts tells it before a
+	// leader is elected
 	private static LogSettings logSettings(LogSettings defaults) {
 		return new LogSettings(TimeUnit.MILLISECONDS.toNanos(HEARTBEAT_MILLIS),
 				TimeUnit.MILLISECONDS.toNanos(ELECTION_TIMEOUT_MILLIS), defaults.batchBytes(), defaults.windowBytes(),
@@ -189,9 +188,8 @@
 			chosen = select(ready, (entry) -> entry.region().equals(call.region()));
 		}
 		if (chosen.isEmpty()) {
-			// where routes are bound to homes, callers do better with the addresses they
-			// know
-			// than with a VM of a region that may not have their requests
+			// callers of a bound host do better with the addresses they know than with a
+			// VM of a region that may not have their requests
 			Set<RegionId> homes = this.declaration.map((known) -> known.homesOf(call.host())).orElse(Set.of());
 			chosen = select(ready, (entry) -> homes.isEmpty() || homes.contains(entry.region()));
 		}
