Log and count the limits that targets state

The adapter reads the header; a VM logs target-limited with the request that brought the word, placed lines name the limit, and limited_sends_total counts requests to targets that state one. No decision changes.

--- a/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/gateway/GatewayTarget.java
+++ b/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/gateway/GatewayTarget.java
@@ -36,6 +36,8 @@
 
 	private long pausedUntilNanos;
 
+	private double requestsPerSecond = Double.POSITIVE_INFINITY;
+
 	private long startedNanos;
 
 	private InFlightLoad own;
@@ -52,7 +54,7 @@
 
 	/**
 	 * Applies a newer report. If the target has restarted, its cached prompt parts, its
-	 * health, its measured speed and its pause are reset.
+	 * health, its measured speed, its pause and its limit are reset.
 	 * @param newer the report
 	 * @param nowNanos the monotonic time
 	 */
@@ -66,6 +68,7 @@
 			this.health = new TargetHealth();
 			this.speed = new TargetSpeed();
 			this.pausedUntilNanos = nowNanos;
+			this.requestsPerSecond = Double.POSITIVE_INFINITY;
 		}
 		this.report = newer;
 		this.coldUntilNanos = nowNanos + TimeUnit.MILLISECONDS.toNanos(newer.warmUpRemainingMillis());
@@ -103,6 +106,19 @@
 		return TimeUnit.NANOSECONDS.toMillis(leftNanos + NANOS_PER_MILLI - 1);
 	}
 
+	/**
+	 * Returns the requests per second that the target last stated to take from all VMs
+	 * together.
+	 * @return the limit, {@link Double#POSITIVE_INFINITY} if there is none
+	 */
+	public double requestsPerSecond() {
+		return this.requestsPerSecond;
+	}
+
+	void setRequestsPerSecond(double stated) {
+		this.requestsPerSecond = stated;
+	}
+
 	public TargetReport report() {
 		return this.report;
 	}
--- a/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/gateway/InFlightRequest.java
+++ b/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/gateway/InFlightRequest.java
@@ -64,6 +64,22 @@
 		end();
 	}
 
+	/**
+	 * Notes the limit that the answer states. It is ignored if the target has restarted
+	 * since.
+	 * @param requestsPerSecond the requests per second that the target takes from all VMs
+	 * together, {@link Double#POSITIVE_INFINITY} if there is no limit
+	 * @return whether the limit differs from the one known before
+	 */
+	public boolean limitStated(double requestsPerSecond) {
+		if (this.target.report().startedMillis() != this.targetStartedMillis
+				|| this.target.requestsPerSecond() == requestsPerSecond) {
+			return false;
+		}
+		this.target.setRequestsPerSecond(requestsPerSecond);
+		return true;
+	}
+
 	/**
 	 * Notes that the first part of the answer has arrived.
 	 * @param nowNanos the monotonic time
--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/RequestDecisionLog.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/RequestDecisionLog.java
@@ -42,7 +42,11 @@
 				choice.harmfulReadingShare(), "inFlight", choice.load().requests(), "queuedTokens",
 				choice.load().unreadTokens(), "loadAgeMillis", choice.loadAgeMillis(), "copyFrom",
 				choice.copyFrom().map(GatewayTarget::id).orElse(null), "runnerUp", choice.runnerUp(), "leftMillis",
-				remainingMillis);
+				remainingMillis, "limitPerSecond", limit(choice.target()));
+	}
+
+	private static Double limit(GatewayTarget target) {
+		return Double.isFinite(target.requestsPerSecond()) ? target.requestsPerSecond() : null;
 	}
 
 	/**
--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/RoutedAttempt.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/RoutedAttempt.java
@@ -233,9 +233,20 @@
 					.log(EventKind.TARGET_PAUSED, "target", this.destination, "request", this.request.id(), "born",
 							inFlight.targetStartedMillis(), "millis", this.responseFacts.pauseMillis());
 			}
+			this.responseFacts.requestsPerSecond().ifPresent((limit) -> applyLimit(inFlight, limit));
 		});
 	}
 
+	private void applyLimit(InFlightRequest inFlight, double requestsPerSecond) {
+		if (inFlight.limitStated(requestsPerSecond)) {
+			this.request.context()
+				.telemetry()
+				.log(EventKind.TARGET_LIMITED, "target", this.destination, "request", this.request.id(), "born",
+						inFlight.targetStartedMillis(), "perSecond",
+						Double.isFinite(requestsPerSecond) ? requestsPerSecond : null);
+		}
+	}
+
 	@Override
 	public void onBody(ByteBuf data) {
 		if (this.request.relay().isStarted() && this.status / 100 != 2) {
--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/RoutedRequest.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/RoutedRequest.java
@@ -175,6 +175,9 @@
 		this.triedTargets.add(choice.target().id());
 		this.sendCount++;
 		this.decisions.addTargetChoice(choice, elapsedMillis(), remainingMillis());
+		if (Double.isFinite(choice.target().requestsPerSecond())) {
+			this.context.telemetry().count("limited.sends", service());
+		}
 		this.attempt = RoutedAttempt.toTarget(this, this.context.targets().begin(choice, this.shape, now), choice);
 		this.attempt.start();
 		if (choice.unreadTokens() >= LARGE_PROMPT_TOKENS) {
--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/logging/EventKind.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/logging/EventKind.java
@@ -39,6 +39,8 @@
 	TARGET_EJECTED,
 	/** A target asked this VM to send it no requests for some time. */
 	TARGET_PAUSED,
+	/** A target stated a limit on its requests, changed it or lifted it. */
+	TARGET_LIMITED,
 	/** A request was sent to a target. */
 	PLACED,
 	/** An attempt ended without a complete response. */
--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/protocol/AnswerMetadata.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/protocol/AnswerMetadata.java
@@ -1,5 +1,7 @@
 package org.vanillatrestle.daemon.protocol;
 
+import java.util.OptionalDouble;
+
 /**
  * What the status and the headers of a target's answer say about it.
  * <p>
@@ -11,6 +13,10 @@
  * @param leaving whether the target is leaving and should get no new requests
  * @param pauseMillis the time in milliseconds for which this VM should send the target no
  * requests, 0 if the target asked for no pause
+ * @param requestsPerSecond the requests per second that the target takes from all VMs
+ * together, {@link Double#POSITIVE_INFINITY} if it states that there is no limit, empty
+ * if the answer says nothing about it
  */
-public record AnswerMetadata(boolean notRun, boolean signed, boolean encoded, boolean leaving, long pauseMillis) {
+public record AnswerMetadata(boolean notRun, boolean signed, boolean encoded, boolean leaving, long pauseMillis,
+		OptionalDouble requestsPerSecond) {
 }
