Keep the limits that targets state, summed over all entry VMs

Cause: the header was passed on like any other and obeyed by nothing. The class of fault: what a target says of itself in an answer takes effect nowhere, or only at the VM that was answered, while it is meant for all VMs together.

Change: the limit belongs to the target's report, so it reaches every VM of the region with the target, a restarted VM before its first request. The VM that reads a changed statement increments a revision, which orders statements without a common clock; the limit goes with the incarnation. A looser limit counts only from a request sent after the stricter one was last stated. First sends, repeats, resumes and requests of other regions all ask TargetEligibility, which was part of GatewayTargets. Other regions are told of no room at limited targets.

--- a/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/admission/TokenBucket.java
+++ b/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/admission/TokenBucket.java
@@ -4,8 +4,9 @@
  * A token bucket whose rate may change at any time.
  * <p>
  * Over any period T, at most {@code rate * (T + 1 s)} plus one further amount can be
- * consumed. An amount that exceeds the bucket's capacity can be consumed when the bucket
- * is full; the available amount then becomes negative. Not thread safe.
+ * consumed, from a pacing bucket at most {@code rate * T + 1}. An amount that exceeds the
+ * bucket's capacity can be consumed when the bucket is full; the available amount then
+ * becomes negative. Not thread safe.
  */
 public final class TokenBucket {
 
@@ -15,6 +16,8 @@
 
 	private double minCapacity;
 
+	private final double capacitySeconds;
+
 	private double available;
 
 	private long lastRefillNanos;
@@ -27,12 +30,27 @@
 	 * @param nowNanos the current monotonic time in nanoseconds
 	 */
 	public TokenBucket(double ratePerSecond, double minCapacity, long nowNanos) {
+		this(ratePerSecond, minCapacity, 1, nowNanos);
+		this.available = capacity();
+	}
+
+	private TokenBucket(double ratePerSecond, double minCapacity, double capacitySeconds, long nowNanos) {
 		this.ratePerSecond = ratePerSecond;
 		this.minCapacity = minCapacity;
-		this.available = capacity();
+		this.capacitySeconds = capacitySeconds;
 		this.lastRefillNanos = nowNanos;
 	}
 
+	/**
+	 * Creates an empty bucket with a capacity of 1 at any rate, which spaces amounts of 1
+	 * evenly.
+	 * @param nowNanos the current monotonic time in nanoseconds
+	 * @return a bucket with a rate of 0
+	 */
+	public static TokenBucket pacing(long nowNanos) {
+		return new TokenBucket(0, 1, 0, nowNanos);
+	}
+
 	/**
 	 * Changes the rate. If the rate decreases, the available amount is reduced to the new
 	 * capacity.
@@ -105,7 +123,7 @@
 	}
 
 	private double capacity() {
-		return Math.max(this.minCapacity, this.ratePerSecond);
+		return Math.max(this.minCapacity, this.ratePerSecond * this.capacitySeconds);
 	}
 
 }
--- a/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/fleet/TargetTable.java
+++ b/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/fleet/TargetTable.java
@@ -16,9 +16,9 @@
  * out of order.
  * <p>
  * Invariants: an incarnation that is draining or gone never returns to an earlier
- * condition, whatever later reports say; of the targets that reported the same address,
- * at most one is not gone, and a target that started earlier never replaces it. Not
- * thread safe.
+ * condition, whatever later reports say, and keeps the latest limit that it stated; of
+ * the targets that reported the same address, at most one is not gone, and a target that
+ * started earlier never replaces it. Not thread safe.
  */
 public final class TargetTable {
 
@@ -65,7 +65,9 @@
 	private static boolean isOutdated(TargetReport known, TargetReport report) {
 		if (known.startedMillis() == report.startedMillis()) {
 			boolean advances = report.condition().compareTo(known.condition()) > 0;
-			return known.condition() == TargetCondition.GONE || (report.isOlderThan(known) && !advances);
+			boolean changesLimit = !known.limit().orLater(report.limit()).equals(known.limit());
+			return known.condition() == TargetCondition.GONE
+					|| (report.isOlderThan(known) && !advances && !changesLimit);
 		}
 		return report.isOlderThan(known);
 	}
@@ -90,7 +92,7 @@
 		boolean warmUpChanged = (row.warmUpRemainingMillis(nowNanos) > 0) != (report.warmUpRemainingMillis() > 0);
 		return known.startedMillis() != report.startedMillis() || known.condition() != report.condition()
 				|| warmUpChanged || !known.address().equals(report.address())
-				|| !known.service().equals(report.service());
+				|| !known.service().equals(report.service()) || !known.limit().equals(report.limit());
 	}
 
 	/**
@@ -119,6 +121,28 @@
 		return latest ? advance(target, TargetCondition.DRAINING, nowNanos) : Optional.empty();
 	}
 
+	/**
+	 * Records the limit that an incarnation of a target stated in an answer.
+	 * @param target the target
+	 * @param startedMillis the start time of the incarnation, in milliseconds of Unix
+	 * time
+	 * @param requestsPerSecond the rate that it takes from all VMs together, in requests
+	 * per second, {@link Double#POSITIVE_INFINITY} if there is no limit
+	 * @param nowNanos the monotonic time
+	 * @return the changed report, empty if the limit is known already, or the incarnation
+	 * is gone or not the latest one
+	 */
+	public Optional<TargetReport> changeLimit(TargetId target, long startedMillis, double requestsPerSecond,
+			long nowNanos) {
+		Row row = this.rows.get(target);
+		if (row == null || row.report.startedMillis() != startedMillis
+				|| row.report.limit().requestsPerSecond() == requestsPerSecond) {
+			return Optional.empty();
+		}
+		RequestLimit changed = row.report.limit().changedTo(requestsPerSecond);
+		return merge(row.current(nowNanos).withLimit(changed), nowNanos).stream().findFirst();
+	}
+
 	private Optional<TargetReport> advance(TargetId target, TargetCondition condition, long nowNanos) {
 		Row row = this.rows.get(target);
 		if (row == null || row.report.condition().compareTo(condition) >= 0) {
@@ -158,13 +182,15 @@
 			return this.report.withWarmUpRemaining(warmUpRemainingMillis(nowNanos));
 		}
 
-		// an older report of the same incarnation contributes only a later condition
+		// an older report of the same incarnation contributes only a later condition or
+		// limit
 		TargetReport merge(TargetReport newer, long nowNanos) {
 			if (this.report.startedMillis() != newer.startedMillis()) {
 				return newer;
 			}
 			TargetReport base = newer.isOlderThan(this.report) ? current(nowNanos) : newer;
-			return base.withCondition(this.report.condition().orLater(newer.condition()));
+			return base.withCondition(this.report.condition().orLater(newer.condition()))
+				.withLimit(this.report.limit().orLater(newer.limit()));
 		}
 
 		long warmUpRemainingMillis(long nowNanos) {
--- a/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/gateway/ColdQuota.java
+++ b/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/gateway/ColdQuota.java
@@ -37,13 +37,7 @@
 			return 0;
 		}
 		int count = members.size();
-		long ownRank = members.stream().filter((vm) -> weight(vm, target) < weight(self, target)).count();
-		return total / count + ((ownRank < total % count) ? 1 : 0);
-	}
-
-	private static long weight(VmId vm, TargetId target) {
-		long mixed = (vm.value() + '/' + target.value()).hashCode() * 0x9E3779B97F4A7C15L;
-		return mixed ^ (mixed >>> 32);
+		return total / count + ((VmRanking.rank(self, target, members) < total % count) ? 1 : 0);
 	}
 
 }
--- a/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/gateway/GatewayTarget.java
+++ b/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/gateway/GatewayTarget.java
@@ -3,7 +3,9 @@
 import java.util.concurrent.TimeUnit;
 
 import org.vanillatrestle.TargetId;
+import org.vanillatrestle.internal.admission.TokenBucket;
 import org.vanillatrestle.internal.fleet.InFlightLoad;
+import org.vanillatrestle.internal.fleet.RequestLimit;
 import org.vanillatrestle.internal.fleet.TargetReport;
 
 /**
@@ -36,7 +38,10 @@
 
 	private long pausedUntilNanos;
 
-	private double requestsPerSecond = Double.POSITIVE_INFINITY;
+	private long limitStatedNanos;
+
+	// null while the target states no limit
+	private TokenBucket limiter;
 
 	private long startedNanos;
 
@@ -68,12 +73,27 @@
 			this.health = new TargetHealth();
 			this.speed = new TargetSpeed();
 			this.pausedUntilNanos = nowNanos;
-			this.requestsPerSecond = Double.POSITIVE_INFINITY;
+			this.limiter = null;
 		}
+		applyLimit(newer.limit(), nowNanos);
 		this.report = newer;
 		this.coldUntilNanos = nowNanos + TimeUnit.MILLISECONDS.toNanos(newer.warmUpRemainingMillis());
 	}
 
+	private void applyLimit(RequestLimit limit, long nowNanos) {
+		if (!limit.isFinite()) {
+			this.limiter = null;
+			return;
+		}
+		if (this.limiter == null) {
+			this.limiter = TokenBucket.pacing(nowNanos);
+			this.limitStatedNanos = nowNanos;
+		}
+		else if (!limit.equals(this.report.limit())) {
+			this.limitStatedNanos = nowNanos;
+		}
+	}
+
 	/**
 	 * Treats the target as cold for at least the given time, whatever its reports say.
 	 * @param millis the time in milliseconds
@@ -107,16 +127,43 @@
 	}
 
 	/**
-	 * Returns the requests per second that the target last stated to take from all VMs
-	 * together.
-	 * @return the limit, {@link Double#POSITIVE_INFINITY} if there is none
+	 * Notes a limit that an answer of this incarnation states.
+	 * @param requestsPerSecond the requests per second that the target takes from all VMs
+	 * together, {@link Double#POSITIVE_INFINITY} if there is no limit
+	 * @param sentNanos the monotonic time at which the answered request was sent
+	 * @param nowNanos the monotonic time
+	 * @return whether the statement changes the limit. A looser limit does so only if the
+	 * request was sent after the stricter one had last been stated, because answers may
+	 * overtake each other
+	 */
+	boolean isLimitChangedBy(double requestsPerSecond, long sentNanos, long nowNanos) {
+		double known = this.report.limit().requestsPerSecond();
+		if (requestsPerSecond > known) {
+			return sentNanos - this.limitStatedNanos > 0;
+		}
+		this.limitStatedNanos = nowNanos;
+		return requestsPerSecond < known;
+	}
+
+	/**
+	 * Returns when this VM may send the next request within its share of the limit. Must
+	 * be called only while the target states a limit.
+	 * @param sharePerSecond the requests per second that this VM may send
+	 * @param nowNanos the monotonic time
+	 * @return the time in nanoseconds from now, {@link Long#MAX_VALUE} if this VM has no
+	 * share
 	 */
-	public double requestsPerSecond() {
-		return this.requestsPerSecond;
+	long nanosUntilWithinLimit(double sharePerSecond, long nowNanos) {
+		this.limiter.updateRate(sharePerSecond, nowNanos);
+		return (sharePerSecond > 0) ? this.limiter.nanosUntilAvailable(1, nowNanos) : Long.MAX_VALUE;
 	}
 
-	void setRequestsPerSecond(double stated) {
-		this.requestsPerSecond = stated;
+	void recordSent(long unreadTokens, long nowNanos) {
+		this.coldLimiter.recordSent(nowNanos);
+		this.readingRate.recordSent(unreadTokens, nowNanos);
+		if (this.limiter != null) {
+			this.limiter.tryConsume(1, nowNanos);
+		}
 	}
 
 	public TargetReport report() {
--- a/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/gateway/GatewayTargets.java
+++ b/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/gateway/GatewayTargets.java
@@ -10,7 +10,6 @@
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.SortedSet;
-import java.util.TreeSet;
 import java.util.function.Predicate;
 
 import org.apache.commons.rng.UniformRandomProvider;
@@ -83,11 +82,9 @@
 	 */
 	private static final double OTHER_DATA_CENTRE_MILLIS = 60;
 
-	private final VmId self;
-
 	private final DataCentreId dataCentre;
 
-	private final ColdQuota coldQuota;
+	private final TargetEligibility eligibility;
 
 	private final UniformRandomProvider random;
 
@@ -95,10 +92,6 @@
 
 	private final Map<ServiceName, ServiceSpeed> speeds = new HashMap<>();
 
-	private Set<DataCentreId> evacuated = Set.of();
-
-	private SortedSet<VmId> regionEntries = new TreeSet<>();
-
 	private long otherLoadsNanos;
 
 	/**
@@ -109,9 +102,8 @@
 	 * @param random picks among candidates of equal cost
 	 */
 	public GatewayTargets(VmId self, DataCentreId dataCentre, ColdQuota coldQuota, UniformRandomProvider random) {
-		this.self = self;
 		this.dataCentre = dataCentre;
-		this.coldQuota = coldQuota;
+		this.eligibility = new TargetEligibility(self, coldQuota);
 		this.random = random;
 	}
 
@@ -145,21 +137,20 @@
 	 * @param nowNanos the monotonic time
 	 */
 	public void setEvacuated(Set<DataCentreId> changed, Map<ServiceName, Long> coldMillis, long nowNanos) {
-		for (GatewayTarget target : this.targets.values()) {
-			DataCentreId dataCentre = target.report().dataCentre();
-			if (this.evacuated.contains(dataCentre) && !changed.contains(dataCentre)) {
-				target.treatAsCold(coldMillis.getOrDefault(target.report().service(), 0L), nowNanos);
-			}
-		}
-		this.evacuated = Set.copyOf(changed);
+		Set<DataCentreId> returned = this.eligibility.setEvacuated(changed);
+		this.targets.values()
+			.stream()
+			.filter((target) -> returned.contains(target.report().dataCentre()))
+			.forEach((target) -> target.treatAsCold(coldMillis.getOrDefault(target.report().service(), 0L), nowNanos));
 	}
 
 	/**
 	 * Sets the entry VMs that share this region's targets.
-	 * @param entries the VMs, including this one
+	 * @param entries the VMs, including this one if the control VMs know of it
+	 * @param nowNanos the monotonic time
 	 */
-	public void setRegionEntries(SortedSet<VmId> entries) {
-		this.regionEntries = entries;
+	public void setRegionEntries(SortedSet<VmId> entries, long nowNanos) {
+		this.eligibility.setRegionEntries(entries, nowNanos);
 	}
 
 	/**
@@ -189,7 +180,7 @@
 	 * @return whether there is such a target, even one without free capacity
 	 */
 	public boolean hasTarget(DeclaredService service) {
-		return this.targets.values().stream().anyMatch((target) -> isOffered(target, service));
+		return this.targets.values().stream().anyMatch((target) -> this.eligibility.isOffered(target, service));
 	}
 
 	/**
@@ -200,14 +191,14 @@
 	 * @return the choice, empty if no usable target has free capacity
 	 */
 	public Optional<TargetChoice> choose(RequestShape shape, Set<TargetId> tried, long nowNanos) {
-		return choose(shape, nowNanos,
-				(target) -> isUsable(target, shape.service(), nowNanos) && !tried.contains(target.id()));
+		return choose(shape, nowNanos, (target) -> this.eligibility.isEligible(target, shape.service(), nowNanos)
+				&& !tried.contains(target.id()));
 	}
 
 	private Optional<TargetChoice> choose(RequestShape shape, long nowNanos, Predicate<GatewayTarget> usable) {
 		List<GatewayTarget> offered = this.targets.values()
 			.stream()
-			.filter((target) -> isOffered(target, shape.service()))
+			.filter((target) -> this.eligibility.isOffered(target, shape.service()))
 			.toList();
 		List<Candidate> candidates = new ArrayList<>();
 		SharedParts shared = SharedParts.of(shape, offered, speed(shape.service().name()), nowNanos);
@@ -278,31 +269,6 @@
 				/ speed(target.report().service()).tokensPerSecond(target.speed());
 	}
 
-	private boolean isOffered(GatewayTarget target, DeclaredService service) {
-		TargetReport report = target.report();
-		return report.service().equals(service.name()) && report.condition() == TargetCondition.READY
-				&& !this.evacuated.contains(report.dataCentre());
-	}
-
-	private boolean isUsable(GatewayTarget target, DeclaredService service, long nowNanos) {
-		if (!isOffered(target, service) || target.health().isEjected(nowNanos) || target.pausedMillis(nowNanos) > 0) {
-			return false;
-		}
-		if (target.health().isProbing() && target.own().requests() > 0) {
-			return false;
-		}
-		return !isLimited(target, service, nowNanos)
-				|| target.coldLimiter().canSend(coldLimit(target, service), nowNanos);
-	}
-
-	private static boolean isLimited(GatewayTarget target, DeclaredService service, long nowNanos) {
-		return service.warmupRequestsPerSecond() > 0 && (target.isCold(nowNanos) || target.health().isProbing());
-	}
-
-	private int coldLimit(GatewayTarget target, DeclaredService service) {
-		return this.coldQuota.quota(service.warmupRequestsPerSecond(), target.id(), this.self, this.regionEntries);
-	}
-
 	private double waitMillis(GatewayTarget target, DeclaredService service, long unreadTokens) {
 		ServiceSpeed speed = speed(service.name());
 		InFlightLoad load = target.totalLoad();
@@ -338,8 +304,7 @@
 	 */
 	public InFlightRequest begin(TargetChoice choice, RequestShape shape, long nowNanos) {
 		GatewayTarget target = choice.target();
-		target.coldLimiter().recordSent(nowNanos);
-		target.readingRate().recordSent(choice.unreadTokens(), nowNanos);
+		target.recordSent(choice.unreadTokens(), nowNanos);
 		InFlightRequest request = new InFlightRequest(target, speed(shape.service().name()), shape,
 				choice.unreadTokens(), nowNanos);
 		shape.service()
@@ -363,23 +328,25 @@
 	}
 
 	/**
-	 * Returns when the first pause ends, if all targets of a service are paused.
+	 * Returns when the first target accepts a request again, if all targets of a service
+	 * asked for a pause or this VM has used up its shares of their limits.
 	 * @param service the service
 	 * @param nowNanos the monotonic time
-	 * @return the milliseconds left, empty if no target is known or one is not paused
+	 * @return the milliseconds left, empty if no target is known or one accepts requests
 	 */
-	public OptionalLong remainingPauseMillis(DeclaredService service, long nowNanos) {
+	public OptionalLong reopensInMillis(DeclaredService service, long nowNanos) {
 		OptionalLong first = this.targets.values()
 			.stream()
-			.filter((target) -> isOffered(target, service))
-			.mapToLong((target) -> target.pausedMillis(nowNanos))
+			.filter((target) -> this.eligibility.isOffered(target, service))
+			.mapToLong((target) -> this.eligibility.reopensInMillis(target, nowNanos))
 			.min();
 		return (first.isPresent() && first.getAsLong() > 0) ? first : OptionalLong.empty();
 	}
 
 	/**
-	 * Estimates the choice for one more request from another region. Cold targets are
-	 * left out: the requests that they tolerate are reserved for this region.
+	 * Estimates the choice for one more request from another region. Targets that are
+	 * cold or state a limit are left out: the requests that they tolerate are reserved
+	 * for this region.
 	 * @param service the service
 	 * @param pauseObjectiveMillis the shortest pause objective of its streams
 	 * @param nowNanos the monotonic time
@@ -387,7 +354,8 @@
 	 */
 	public Optional<TargetChoice> chooseForRemote(DeclaredService service, long pauseObjectiveMillis, long nowNanos) {
 		return choose(new RequestShape(service, 0, 0, List.of(), pauseObjectiveMillis, Double.MAX_VALUE), nowNanos,
-				(target) -> isUsable(target, service, nowNanos) && !isLimited(target, service, nowNanos));
+				(target) -> this.eligibility.isEligible(target, service, nowNanos)
+						&& !this.eligibility.isRestricted(target, service, nowNanos));
 	}
 
 	/**
--- a/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/gateway/InFlightRequest.java
+++ b/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/gateway/InFlightRequest.java
@@ -65,19 +65,16 @@
 	}
 
 	/**
-	 * Notes the limit that the answer states. It is ignored if the target has restarted
-	 * since.
+	 * Notes the limit that the answer states.
 	 * @param requestsPerSecond the requests per second that the target takes from all VMs
 	 * together, {@link Double#POSITIVE_INFINITY} if there is no limit
-	 * @return whether the limit differs from the one known before
+	 * @param nowNanos the monotonic time
+	 * @return whether the fleet must be told of a changed limit, which is never the case
+	 * if the target has restarted since
 	 */
-	public boolean limitStated(double requestsPerSecond) {
-		if (this.target.report().startedMillis() != this.targetStartedMillis
-				|| this.target.requestsPerSecond() == requestsPerSecond) {
-			return false;
-		}
-		this.target.setRequestsPerSecond(requestsPerSecond);
-		return true;
+	public boolean limitStated(double requestsPerSecond, long nowNanos) {
+		return this.target.report().startedMillis() == this.targetStartedMillis
+				&& this.target.isLimitChangedBy(requestsPerSecond, this.sentNanos, nowNanos);
 	}
 
 	/**
--- a/vanillatrestle-core/src/test/java/org/vanillatrestle/internal/gateway/EngineReplay.java
+++ b/vanillatrestle-core/src/test/java/org/vanillatrestle/internal/gateway/EngineReplay.java
@@ -83,7 +83,7 @@
 			this.vms.add(new GatewayTargets(new VmId("edge-" + i), DATA_CENTRE, new ColdQuota(1.5, 3), this.random));
 		}
 		TreeSet<VmId> entries = new TreeSet<>(Set.of(new VmId("edge-0"), new VmId("edge-1"), new VmId("edge-2")));
-		this.vms.forEach((vm) -> vm.setRegionEntries(entries));
+		this.vms.forEach((vm) -> vm.setRegionEntries(entries, 0));
 		for (int i = 0; i < engineCount; i++) {
 			TargetId id = new TargetId("i-" + i);
 			this.engines.put(id, new Engine(cacheTokens));
--- a/vanillatrestle-core/src/test/java/org/vanillatrestle/internal/gateway/GatewayTargetsTests.java
+++ b/vanillatrestle-core/src/test/java/org/vanillatrestle/internal/gateway/GatewayTargetsTests.java
@@ -43,7 +43,7 @@
 
 	@BeforeEach
 	void setRegionEntries() {
-		this.targets.setRegionEntries(new TreeSet<>(Set.of(new VmId("edge-1"))));
+		this.targets.setRegionEntries(new TreeSet<>(Set.of(new VmId("edge-1"))), 0);
 	}
 
 	@Test
@@ -61,7 +61,7 @@
 	void shouldSendNothingToATargetThatAskedForAPause() {
 		add("a", PLAIN, TargetCondition.READY, 0);
 		add("b", PLAIN, TargetCondition.READY, 0);
-		assertThat(this.targets.remainingPauseMillis(PLAIN, 0)).isEmpty();
+		assertThat(this.targets.reopensInMillis(PLAIN, 0)).isEmpty();
 		TargetChoice paused = choose(PLAIN, 0).orElseThrow();
 		this.targets.begin(paused, shape(PLAIN, 0), 0).pauseRequested(2_000, 0);
 		long soonNanos = TimeUnit.MILLISECONDS.toNanos(1_900);
@@ -69,11 +69,11 @@
 			assertThat(this.targets.choose(shape(PLAIN, 0), Set.of(), soonNanos).orElseThrow().target().id())
 				.isNotEqualTo(paused.target().id());
 		}
-		assertThat(this.targets.remainingPauseMillis(PLAIN, soonNanos)).isEmpty();
+		assertThat(this.targets.reopensInMillis(PLAIN, soonNanos)).isEmpty();
 		TargetChoice other = this.targets.choose(shape(PLAIN, 0), Set.of(), soonNanos).orElseThrow();
 		this.targets.begin(other, shape(PLAIN, 0), soonNanos).pauseRequested(5_000, soonNanos);
 		assertThat(this.targets.choose(shape(PLAIN, 0), Set.of(), soonNanos)).isEmpty();
-		assertThat(this.targets.remainingPauseMillis(PLAIN, soonNanos)).hasValue(100);
+		assertThat(this.targets.reopensInMillis(PLAIN, soonNanos)).hasValue(100);
 		assertThat(this.targets.choose(shape(PLAIN, 0), Set.of(), TimeUnit.MILLISECONDS.toNanos(2_001))).isPresent();
 	}
 
@@ -265,7 +265,7 @@
 
 	@Test
 	void shouldSendNothingToAColdTargetBeforeItKnowsTheEntryVms() {
-		this.targets.setRegionEntries(new TreeSet<>());
+		this.targets.setRegionEntries(new TreeSet<>(), 0);
 		add("a", MODEL, TargetCondition.READY, 3_000);
 		assertThat(choose(MODEL, 100)).isEmpty();
 	}
--- a/vanillatrestle-core/src/test/java/org/vanillatrestle/internal/gateway/SharedPartsTests.java
+++ b/vanillatrestle-core/src/test/java/org/vanillatrestle/internal/gateway/SharedPartsTests.java
@@ -39,7 +39,7 @@
 
 	@BeforeEach
 	void setRegionEntries() {
-		this.targets.setRegionEntries(new TreeSet<>(Set.of(new VmId("edge-1"))));
+		this.targets.setRegionEntries(new TreeSet<>(Set.of(new VmId("edge-1"))), 0);
 	}
 
 	private static DeclaredService service(double linkMegabitsPerSecond) {
--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/fleet/ControlFleet.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/fleet/ControlFleet.java
@@ -200,7 +200,8 @@
 	static void logChange(TargetReport report) {
 		EventLog.write(EventKind.TARGET_CHANGED, "target", report.target(), "condition", report.condition(), "service",
 				report.service(), "address", report.address(), "born", report.startedMillis(), "sequence",
-				report.sequence(), "coldMillis", report.warmUpRemainingMillis());
+				report.sequence(), "coldMillis", report.warmUpRemainingMillis(), "limitPerSecond",
+				report.limit().isFinite() ? report.limit().requestsPerSecond() : null);
 	}
 
 	/**
--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/fleet/EntryFleet.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/fleet/EntryFleet.java
@@ -22,7 +22,7 @@
  * <p>
  * Confined to the VM's event loop. The declared state is never replaced by an older one.
  */
-public final class EntryFleet implements FleetListener {
+public final class EntryFleet implements FleetListener, TargetStatementListener {
 
 	private static final long HEARTBEAT_INTERVAL_MILLIS = 250;
 
@@ -126,19 +126,32 @@
 		sendLoads(this.changeListener.inFlightLoads(), true);
 	}
 
-	/**
-	 * Marks a target as draining, because one of its responses said so, and informs the
-	 * control VMs.
-	 * @param target the target
-	 * @param bornMillis start time of the responding incarnation, in Unix milliseconds
-	 */
-	public void markTargetDraining(TargetId target, long bornMillis) {
-		this.targets.markDraining(target, bornMillis, System.nanoTime()).ifPresent((report) -> {
-			ControlFleet.logChange(report);
-			this.changeListener.targetChanged(report);
-			byte[] news = FleetLinks.encode(new FleetNews.Targets(List.of(report)));
-			this.links.controlPeers().forEach((peer) -> this.links.send(peer.vm(), news));
-		});
+	@Override
+	public void targetLeaving(TargetId target, long bornMillis) {
+		this.targets.markDraining(target, bornMillis, System.nanoTime()).ifPresent(this::publish);
+	}
+
+	@Override
+	public void limitChanged(TargetId target, long bornMillis, double requestsPerSecond) {
+		this.targets.changeLimit(target, bornMillis, requestsPerSecond, System.nanoTime()).ifPresent(this::publish);
+	}
+
+	private void publish(TargetReport report) {
+		ControlFleet.logChange(report);
+		this.changeListener.targetChanged(report);
+		byte[] news = FleetLinks.encode(new FleetNews.Targets(List.of(report)));
+		this.links.controlPeers().forEach((peer) -> this.links.send(peer.vm(), news));
+	}
+
+	// a control VM that has restarted learns from targets' own reports no limits
+	private void sendLimits(VmId controlVm) {
+		List<TargetReport> limited = this.targets.reports(System.nanoTime())
+			.stream()
+			.filter((report) -> report.limit().revision() > 0)
+			.toList();
+		if (!limited.isEmpty()) {
+			this.links.send(controlVm, FleetLinks.encode(new FleetNews.Targets(limited)));
+		}
 	}
 
 	private void sendLoads(List<InFlightLoad> loads, boolean urgent) {
@@ -155,6 +168,7 @@
 	@Override
 	public void connected(PeerIdentity peer, boolean control) {
 		sendHeartbeat();
+		sendLimits(peer.vm());
 	}
 
 	@Override
--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/EntryVm.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/EntryVm.java
@@ -128,8 +128,8 @@
 		this.fleet = new EntryFleet(links, loop, this::entryReport, this);
 		this.dispatcher = new RequestDispatcher(new GatewayContext(loop, settings.region(), protocol, this.targets,
 				this.remoteVms, client, this.retryBudget, this.telemetry, random, () -> this.fleet.sendLoadsUrgently(),
-				(target, bornMillis) -> this.fleet.markTargetDraining(target, bornMillis),
-				new BodyMemory(Runtime.getRuntime().maxMemory() / RESPONSE_MEMORY_HEAP_DIVISOR), System.nanoTime()));
+				this.fleet, new BodyMemory(Runtime.getRuntime().maxMemory() / RESPONSE_MEMORY_HEAP_DIVISOR),
+				System.nanoTime()));
 	}
 
 	public EntryFleet fleet() {
@@ -263,7 +263,7 @@
 		activeEntries.stream()
 			.filter((entry) -> entry.region().equals(this.settings.region()))
 			.forEach((entry) -> regionVms.add(entry.vm()));
-		this.targets.setRegionEntries(regionVms);
+		this.targets.setRegionEntries(regionVms, System.nanoTime());
 		this.retryBudget.setVmCount(Math.max(1, activeEntries.size()));
 	}
 
--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/GatewayContext.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/GatewayContext.java
@@ -1,12 +1,11 @@
 package org.vanillatrestle.daemon.internal.gateway;
 
 import java.util.concurrent.TimeUnit;
-import java.util.function.ObjLongConsumer;
 
 import io.netty.channel.EventLoop;
 import org.apache.commons.rng.UniformRandomProvider;
 import org.vanillatrestle.RegionId;
-import org.vanillatrestle.TargetId;
+import org.vanillatrestle.daemon.internal.fleet.TargetStatementListener;
 import org.vanillatrestle.daemon.internal.http.BodyMemory;
 import org.vanillatrestle.daemon.internal.target.TargetClient;
 import org.vanillatrestle.daemon.protocol.GatewayProtocol;
@@ -30,14 +29,14 @@
  * @param random source of randomness for choosing services by weight
  * @param onLargeRequest called when a request with many unread prompt tokens was sent to
  * a target
- * @param onTargetLeaving called with a target's id and the start time of its incarnation
- * when a response says that the target is leaving
+ * @param targetStatements receives what targets' responses state and other VMs have to
+ * know
  * @param responseMemory limits the memory used by buffered responses
  * @param startedNanos the time at which this VM started, on the monotonic clock
  */
 record GatewayContext(EventLoop loop, RegionId region, GatewayProtocol protocol, GatewayTargets targets,
 		RemoteEntries remoteVms, TargetClient client, RetryBudget retryBudget, RequestTelemetry telemetry,
-		UniformRandomProvider random, Runnable onLargeRequest, ObjLongConsumer<TargetId> onTargetLeaving,
+		UniformRandomProvider random, Runnable onLargeRequest, TargetStatementListener targetStatements,
 		BodyMemory responseMemory, long startedNanos) {
 
 	long uptimeMillis() {
--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/RequestDecisionLog.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/RequestDecisionLog.java
@@ -4,6 +4,7 @@
 import java.util.List;
 
 import org.vanillatrestle.daemon.internal.logging.EventKind;
+import org.vanillatrestle.internal.fleet.RequestLimit;
 import org.vanillatrestle.internal.gateway.GatewayTarget;
 import org.vanillatrestle.internal.gateway.Placement;
 import org.vanillatrestle.internal.gateway.RemoteEntries;
@@ -46,7 +47,8 @@
 	}
 
 	private static Double limit(GatewayTarget target) {
-		return Double.isFinite(target.requestsPerSecond()) ? target.requestsPerSecond() : null;
+		RequestLimit limit = target.report().limit();
+		return limit.isFinite() ? limit.requestsPerSecond() : null;
 	}
 
 	/**
--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/RoutedAttempt.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/RoutedAttempt.java
@@ -224,7 +224,9 @@
 	private void applyAvailabilityHints() {
 		this.targetRequest.ifPresent((inFlight) -> {
 			if (this.responseFacts.leaving()) {
-				this.request.context().onTargetLeaving().accept(inFlight.target().id(), inFlight.targetStartedMillis());
+				this.request.context()
+					.targetStatements()
+					.targetLeaving(inFlight.target().id(), inFlight.targetStartedMillis());
 			}
 			if (this.responseFacts.pauseMillis() > 0) {
 				inFlight.pauseRequested(this.responseFacts.pauseMillis(), System.nanoTime());
@@ -238,7 +240,10 @@
 	}
 
 	private void applyLimit(InFlightRequest inFlight, double requestsPerSecond) {
-		if (inFlight.limitStated(requestsPerSecond)) {
+		if (inFlight.limitStated(requestsPerSecond, System.nanoTime())) {
+			this.request.context()
+				.targetStatements()
+				.limitChanged(inFlight.target().id(), inFlight.targetStartedMillis(), requestsPerSecond);
 			this.request.context()
 				.telemetry()
 				.log(EventKind.TARGET_LIMITED, "target", this.destination, "request", this.request.id(), "born",
--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/RoutedRequest.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/RoutedRequest.java
@@ -154,16 +154,16 @@
 	}
 
 	private void waitForCapacity() {
-		OptionalLong reopenMillis = this.context.targets()
-			.remainingPauseMillis(this.shape.service(), System.nanoTime());
-		if (reopenMillis.isPresent()) {
+		double maxWaitMillis = MAX_WAIT_OBJECTIVE_SHARE * this.route.latencyObjectiveMillis();
+		OptionalLong reopenMillis = this.context.targets().reopensInMillis(this.shape.service(), System.nanoTime());
+		if (reopenMillis.isPresent() && elapsedMillis() + reopenMillis.getAsLong() >= maxWaitMillis) {
 			refuse((this.sendCount == 0) ? GatewayError.NO_CAPACITY : GatewayError.NOT_RUN, reopenMillis.getAsLong());
 			return;
 		}
 		boolean hasTargets = this.context.targets().hasTarget(this.shape.service());
 		long startupMillis = hasTargets ? 0
 				: StartupWait.forTargetsMillis(this.context.uptimeMillis(), remainingMillis());
-		if (elapsedMillis() < Math.max(startupMillis, MAX_WAIT_OBJECTIVE_SHARE * this.route.latencyObjectiveMillis())) {
+		if (elapsedMillis() < Math.max(startupMillis, maxWaitMillis)) {
 			this.waitTimer = this.context.loop().schedule(this::place, PLACEMENT_RETRY_MILLIS, TimeUnit.MILLISECONDS);
 			return;
 		}
@@ -175,7 +175,7 @@
 		this.triedTargets.add(choice.target().id());
 		this.sendCount++;
 		this.decisions.addTargetChoice(choice, elapsedMillis(), remainingMillis());
-		if (Double.isFinite(choice.target().requestsPerSecond())) {
+		if (choice.target().report().limit().isFinite()) {
 			this.context.telemetry().count("limited.sends", service());
 		}
 		this.attempt = RoutedAttempt.toTarget(this, this.context.targets().begin(choice, this.shape, now), choice);
--- a/vanillatrestle-wire/src/main/java/org/vanillatrestle/wire/FleetCodec.java
+++ b/vanillatrestle-wire/src/main/java/org/vanillatrestle/wire/FleetCodec.java
@@ -10,6 +10,7 @@
 import org.vanillatrestle.VmId;
 import org.vanillatrestle.internal.fleet.EntryReport;
 import org.vanillatrestle.internal.fleet.InFlightLoad;
+import org.vanillatrestle.internal.fleet.RequestLimit;
 import org.vanillatrestle.internal.fleet.ServiceWait;
 import org.vanillatrestle.internal.fleet.TargetCondition;
 import org.vanillatrestle.internal.fleet.TargetReport;
@@ -165,6 +166,8 @@
 			.setSlots(report.slots())
 			.setCondition(code(report.condition()))
 			.setColdLeftMillis(report.warmUpRemainingMillis())
+			.setLimitRevision(report.limit().revision())
+			.setLimitPerSecond((report.limit().revision() != 0) ? report.limit().requestsPerSecond() : 0)
 			.build();
 	}
 
@@ -172,7 +175,12 @@
 		return new TargetReport(new TargetId(row.getTarget()), row.getBornMillis(), row.getSequence(),
 				new ServiceName(row.getService()), new TargetAddress(row.getHost(), row.getPort()),
 				new DataCentreId(row.getDataCentre()), row.getSlots(), condition(row.getCondition()),
-				row.getColdLeftMillis());
+				row.getColdLeftMillis(), limit(row));
+	}
+
+	private static RequestLimit limit(TargetReportRow row) {
+		return (row.getLimitRevision() != 0) ? new RequestLimit(row.getLimitRevision(), row.getLimitPerSecond())
+				: RequestLimit.NONE;
 	}
 
 	private static TargetConditionCode code(TargetCondition condition) {
