--- a/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/fleet/TargetTable.java
+++ b/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/fleet/TargetTable.java
@@ -45,8 +45,8 @@
 		}
 		List<TargetReport> changes = new ArrayList<>();
 		TargetReport kept = (row != null) ? row.merge(report, nowNanos) : report;
-		if (kept.condition() != TargetCondition.GONE && !claimAddress(kept, nowNanos, changes)) {
-			kept = kept.withCondition(TargetCondition.GONE);
+		if (kept.condition() == TargetCondition.GONE || !claimAddress(kept, nowNanos, changes)) {
+			kept = gone(kept);
 		}
 		boolean changed = row == null || isChange(row, kept, nowNanos);
 		if (row != null && !row.report.address().equals(kept.address())) {
@@ -72,6 +72,10 @@
 		return report.isOlderThan(known);
 	}
 
+	private static TargetReport gone(TargetReport report) {
+		return report.withCondition(TargetCondition.GONE).withLimit(RequestLimit.NONE);
+	}
+
 	private boolean claimAddress(TargetReport report, long nowNanos, List<TargetReport> changes) {
 		TargetId holder = this.byAddress.get(report.address());
 		if (holder != null && !holder.equals(report.target())) {
@@ -79,7 +83,7 @@
 			if (other.startedMillis() > report.startedMillis()) {
 				return false;
 			}
-			TargetReport gone = other.withCondition(TargetCondition.GONE);
+			TargetReport gone = gone(other);
 			this.rows.put(holder, new Row(gone, nowNanos));
 			changes.add(gone);
 		}
--- a/vanillatrestle-core/src/test/java/org/vanillatrestle/internal/fleet/TargetTableTests.java
+++ b/vanillatrestle-core/src/test/java/org/vanillatrestle/internal/fleet/TargetTableTests.java
@@ -97,6 +97,35 @@
 		assertThat(this.table.merge(report("a", 1, 2, TargetCondition.READY, 80), 4_000_000_000L)).isEmpty();
 	}
 
+	@Test
+	void shouldKeepTheLimitStatedInAnswersThroughReportsOfTheTarget() {
+		this.table.merge(report("a", 1, 1, TargetCondition.READY, 80), 0);
+		assertThat(this.table.changeLimit(new TargetId("a"), 1, 2, 0)).isPresent();
+		assertThat(this.table.changeLimit(new TargetId("a"), 1, 2, 0)).as("known already").isEmpty();
+		this.table.merge(report("a", 1, 2, TargetCondition.READY, 80), 0);
+		this.table.merge(report("a", 1, 3, TargetCondition.DRAINING, 80), 0);
+		assertThat(limit("a")).isEqualTo(2);
+		this.table.merge(report("a", 2, 1, TargetCondition.READY, 80), 0);
+		assertThat(limit("a")).isInfinite();
+		assertThat(this.table.changeLimit(new TargetId("a"), 1, 2, 0)).as("a former incarnation").isEmpty();
+	}
+
+	@Test
+	void shouldAcceptTheLaterLimitFromAReportWithOlderSequence() {
+		this.table.merge(report("a", 1, 5, TargetCondition.READY, 80), 0);
+		TargetReport limited = report("a", 1, 2, TargetCondition.READY, 80).withLimit(new RequestLimit(3, 1));
+		assertThat(this.table.merge(limited, 0)).hasSize(1);
+		assertThat(this.table.find(new TargetId("a")).orElseThrow().sequence()).isEqualTo(5);
+		assertThat(this.table.merge(limited.withLimit(new RequestLimit(2, 9)), 0)).isEmpty();
+		assertThat(this.table.merge(limited.withLimit(new RequestLimit(3, 9)), 0)).as("read at the same time")
+			.isEmpty();
+		assertThat(limit("a")).isEqualTo(1);
+	}
+
+	private double limit(String name) {
+		return this.table.find(new TargetId(name)).orElseThrow().limit().requestsPerSecond();
+	}
+
 	@Property
 	void shouldConvergeForAnyOrderOfReports(@ForAll long seed) {
 		Random random = new Random(seed);
@@ -104,7 +133,10 @@
 		for (int started = 1; started <= 4; started++) {
 			for (int sequence = 1; sequence <= 4; sequence++) {
 				TargetCondition condition = TargetCondition.values()[(sequence == 4) ? random.nextInt(3) : 0];
-				reports.add(report("t" + (started % 2), started, sequence, condition, 80 + (started % 2)));
+				RequestLimit limit = (random.nextInt(3) == 0)
+						? new RequestLimit(1 + random.nextInt(3), random.nextInt(3)) : RequestLimit.NONE;
+				reports.add(
+						report("t" + (started % 2), started, sequence, condition, 80 + (started % 2)).withLimit(limit));
 			}
 		}
 		List<TargetReport> shuffled = new ArrayList<>(reports);
--- a/vanillatrestle-wire/src/test/java/org/vanillatrestle/wire/FleetCodecTests.java
+++ b/vanillatrestle-wire/src/test/java/org/vanillatrestle/wire/FleetCodecTests.java
@@ -10,6 +10,7 @@
 import org.vanillatrestle.VmId;
 import org.vanillatrestle.internal.fleet.EntryReport;
 import org.vanillatrestle.internal.fleet.InFlightLoad;
+import org.vanillatrestle.internal.fleet.RequestLimit;
 import org.vanillatrestle.internal.fleet.ServiceWait;
 import org.vanillatrestle.internal.fleet.TargetCondition;
 import org.vanillatrestle.internal.fleet.TargetReport;
@@ -27,15 +28,17 @@
 
 	private static final InFlightLoad LOAD = new InFlightLoad(new TargetId("i-1"), 3, 4_000, 9_000, 12_000, 700);
 
+	private static final TargetReport TARGET = new TargetReport(new TargetId("i-1"), 5, 2, new ServiceName("model"),
+			new TargetAddress("10.0.0.3", 99), new DataCentreId("koshi-a"), 64, TargetCondition.DRAINING, 1_500);
+
 	@Test
 	void shouldReadBackWhatItWrote() throws Exception {
 		List<FleetNews> all = List.of(new FleetNews.EntryBeat(ENTRY, 7, 2),
 				new FleetNews.EntryLoads(List.of(LOAD), true, false), new FleetNews.EntryLoads(List.of(), false, true),
 				new FleetNews.RegionLoads(List.of(LOAD)),
 				new FleetNews.ControlBeat(7, List.of("10.0.0.2:90"), List.of(ENTRY)),
-				new FleetNews.Targets(List.of(new TargetReport(new TargetId("i-1"), 5, 2, new ServiceName("model"),
-						new TargetAddress("10.0.0.3", 99), new DataCentreId("koshi-a"), 64, TargetCondition.DRAINING,
-						1_500))));
+				new FleetNews.Targets(List.of(TARGET, TARGET.withLimit(new RequestLimit(2, 1.5)),
+						TARGET.withLimit(new RequestLimit(3, Double.POSITIVE_INFINITY)))));
 		for (FleetNews news : all) {
 			assertThat(FleetCodec.decode(FleetCodec.encode(news))).isEqualTo(news);
 		}
