--- a/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/gateway/RequestLimitShares.java
+++ b/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/gateway/RequestLimitShares.java
@@ -12,10 +12,10 @@
  * of its region.
  * <p>
  * The VMs exchange no messages for this: those that know the same members compute shares
- * that add up to the divided part of the limit. Two groups of VMs that don't know each
- * other together send at most {@code 6 * limit + 5} requests in any 4 s, since each VM
- * with a share sends at most one request more than its share of that time. Not thread
- * safe.
+ * that add up to the divided part of the limit. Each VM with a share sends at most one
+ * request more than its share of any time. When a region is cut into two groups of VMs
+ * that no longer know each other, both together still send at most {@code 6 * limit + 5}
+ * requests in any 4 s. Not thread safe.
  */
 final class RequestLimitShares {
 
@@ -32,12 +32,12 @@
 	private static final double MIN_REQUESTS_PER_SECOND = 0.1;
 
 	/**
-	 * The number of VMs that have a share, beyond a part of the limit. The others have
-	 * none, because each VM with a share may send a request at any moment.
+	 * In a region of up to this many VMs, and of more for a higher limit, each VM has a
+	 * share. In a larger region only some have, as each may send a request at any moment.
 	 */
-	private static final double MIN_SHARES = 2.5;
+	private static final double MAX_VMS_WITH_EQUAL_SHARES = 5;
 
-	private static final double SHARES_PER_REQUEST_PER_SECOND = 0.2;
+	private static final double MORE_VMS_PER_REQUEST_PER_SECOND = 0.4;
 
 	/**
 	 * A VM has no share until the others have had the time to learn of it and to reduce
@@ -49,6 +49,9 @@
 
 	private SortedSet<VmId> members = new TreeSet<>();
 
+	// never decreases, as VMs that no longer report may still send requests
+	private int largestCount;
+
 	private long joinedNanos;
 
 	RequestLimitShares(VmId self) {
@@ -70,6 +73,7 @@
 			this.joinedNanos = nowNanos;
 		}
 		this.members = reported;
+		this.largestCount = Math.max(this.largestCount, reported.size());
 	}
 
 	/**
@@ -84,11 +88,16 @@
 			return 0;
 		}
 		double limit = effectiveLimit(limitPerSecond);
-		int shares = Math.min(this.members.size(), (int) (MIN_SHARES + SHARES_PER_REQUEST_PER_SECOND * limit));
+		int shares = Math.min(this.members.size(), maxShares(limit));
 		boolean hasShare = VmRanking.rank(this.self, target, this.members) < shares;
 		return hasShare ? limit * DIVIDED_FRACTION / shares : 0;
 	}
 
+	private int maxShares(double limit) {
+		double maxCount = MAX_VMS_WITH_EQUAL_SHARES + MORE_VMS_PER_REQUEST_PER_SECOND * limit;
+		return (int) ((this.largestCount <= maxCount) ? maxCount : maxCount / 2);
+	}
+
 	static double effectiveLimit(double limitPerSecond) {
 		return Math.max(MIN_REQUESTS_PER_SECOND, limitPerSecond);
 	}
--- a/vanillatrestle-core/src/test/java/org/vanillatrestle/internal/gateway/RequestLimitSharesTests.java
+++ b/vanillatrestle-core/src/test/java/org/vanillatrestle/internal/gateway/RequestLimitSharesTests.java
@@ -35,16 +35,18 @@
 	}
 
 	@Property
-	void shouldKeepTheBoundWhenTwoGroupsOfVmsDoNotKnowEachOther(@ForAll @IntRange(min = 1, max = 40) int first,
+	void shouldKeepTheBoundWhenARegionIsCutIntoTwoGroupsOfVms(@ForAll @IntRange(min = 1, max = 40) int first,
 			@ForAll @IntRange(min = 1, max = 40) int second, @ForAll @DoubleRange(min = 0, max = 500) double limit,
 			@ForAll int target) {
-		long sent = mostSent(vms(0, first), target, limit) + mostSent(vms(first, second), target, limit);
+		SortedSet<VmId> region = vms(0, first + second);
+		long sent = mostSent(region, vms(0, first), target, limit)
+				+ mostSent(region, vms(first, second), target, limit);
 		assertThat((double) sent).isLessThanOrEqualTo(1.5 * limit * WINDOW_SECONDS + 5);
 	}
 
-	private static long mostSent(SortedSet<VmId> members, int target, double limit) {
-		return members.stream()
-			.mapToDouble((vm) -> share(vm, members, target, limit))
+	private static long mostSent(SortedSet<VmId> region, SortedSet<VmId> group, int target, double limit) {
+		return group.stream()
+			.mapToDouble((vm) -> share(vm, region, group, target, limit))
 			.filter((share) -> share > 0)
 			.mapToLong((share) -> 1 + (long) (share * WINDOW_SECONDS))
 			.sum();
@@ -75,7 +77,12 @@
 	}
 
 	private static double share(VmId vm, SortedSet<VmId> members, int target, double limit) {
+		return share(vm, members, members, target, limit);
+	}
+
+	private static double share(VmId vm, SortedSet<VmId> before, SortedSet<VmId> members, int target, double limit) {
 		RequestLimitShares shares = new RequestLimitShares(vm);
+		shares.setMembers(before, 0);
 		shares.setMembers(members, 0);
 		return shares.requestsPerSecond(new TargetId("t" + Math.floorMod(target, 1000)), limit, LATER_NANOS);
 	}
