Wait for the engine's run before asking whether it was cancelled

CallerFaultMatrixTests, case 20 (the caller leaves before the answer begins), failed once: it waited until no stream runs, which also holds before the engine has begun the run, and asserted at once; a run that began in between was seen as running.

The test now waits for the run first and asserts as much as before; it can no longer pass without having looked at a run that began in time.

--- a/vanillatrestle-bench/src/test/java/org/vanillatrestle/bench/matrix/CallerFaultMatrixTests.java
+++ b/vanillatrestle-bench/src/test/java/org/vanillatrestle/bench/matrix/CallerFaultMatrixTests.java
@@ -193,6 +193,7 @@
 
 	private static void vanish(MatrixVm vm, RawCaller caller, int bytes) throws Exception {
 		caller.sendAndLeave("/v1/chat/completions", CHAT, MatrixVm.KEY, "", bytes);
+		await(() -> !runs(vm, RequestKind.STREAM).isEmpty());
 		await(() -> runs(vm, RequestKind.STREAM).stream().noneMatch((run) -> run.outcome() == Run.Outcome.RUNNING));
 		assertThat(runs(vm, RequestKind.STREAM)).as("the engine's stream is cancelled")
 			.noneMatch((run) -> run.outcome() == Run.Outcome.RUNNING || run.outcome() == Run.Outcome.COMPLETED);
