Tell in logs and metrics what a failed attempt reached, and what stood behind a retry

A VM now tells the one that forwarded the request its error's code and the targets reached; retried and retry-denied carry the cause, what the retry was charged to and the budget's figures; vanillatrestle_gateway_retry_decisions counts them, and vanillatrestle_gateway_repeats the sends after a possible arrival, at the VM that the caller asked, so that the sum over all VMs is what the platform's rule counts. The decision moves to RetryGate; what is decided does not change.

--- a/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/gateway/RetryBudget.java
+++ b/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/gateway/RetryBudget.java
@@ -71,7 +71,7 @@
 	 */
 	public boolean tryRetry(ServiceName service, long nowNanos) {
 		Window window = window(service, nowNanos);
-		if (left(window) < 1) {
+		if (state(window).left() < 1) {
 			return false;
 		}
 		window.retries[0]++;
@@ -79,23 +79,24 @@
 	}
 
 	/**
-	 * Returns how many retries may still be sent now.
+	 * Returns the state of a service's budget.
 	 * @param service the service
 	 * @param nowNanos the monotonic time
-	 * @return the number of retries
+	 * @return the state
 	 */
-	public double left(ServiceName service, long nowNanos) {
-		return left(window(service, nowNanos));
+	public State state(ServiceName service, long nowNanos) {
+		return state(window(service, nowNanos));
 	}
 
-	private double left(Window window) {
+	private State state(Window window) {
 		long requests = 0;
 		long retries = 0;
 		for (int i = 0; i <= BUCKET_COUNT; i++) {
 			requests += (i < BUCKET_COUNT) ? window.requests[i] : 0;
 			retries += window.retries[i];
 		}
-		return GRANTED_FRACTION * (this.ratio * requests + this.allowance / this.vmCount) - retries;
+		double granted = GRANTED_FRACTION * (this.ratio * requests + this.allowance / this.vmCount);
+		return new State(requests, retries, this.vmCount, granted - retries);
 	}
 
 	private Window window(ServiceName service, long nowNanos) {
@@ -104,6 +105,17 @@
 		return window;
 	}
 
+	/**
+	 * The state of the budget of one service.
+	 *
+	 * @param requests the requests in the window
+	 * @param retries the retries granted in the window
+	 * @param vmCount the VMs among which the allowance is divided
+	 * @param left the retries that may still be sent now
+	 */
+	public record State(long requests, long retries, int vmCount, double left) {
+	}
+
 	/**
 	 * The counts of a sliding window, in buckets of equal length, the current one first.
 	 */
--- /dev/null
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/AttemptFailure.java
@@ -0,0 +1,63 @@
+package org.vanillatrestle.daemon.internal.gateway;
+
+import java.util.Locale;
+
+import org.vanillatrestle.Verdict;
+
+/**
+ * Why an attempt ended without a response to deliver.
+ * <p>
+ * Immutable and thread safe.
+ *
+ * @param cause the kind of failure
+ * @param verdict whether the request may have run in the attempt
+ * @param reachedTarget whether the request may have arrived at a target
+ * @param detail the failure in words, for the log
+ */
+record AttemptFailure(Cause cause, Verdict verdict, boolean reachedTarget, String detail) {
+
+	static AttemptFailure unreachable(String detail) {
+		return new AttemptFailure(Cause.UNREACHABLE, Verdict.NOT_RUN, false, detail);
+	}
+
+	static AttemptFailure rejected(String detail) {
+		return new AttemptFailure(Cause.REJECTED, Verdict.NOT_RUN, true, detail);
+	}
+
+	static AttemptFailure failed(String detail) {
+		return new AttemptFailure(Cause.FAILED, Verdict.MAY_HAVE_RUN, true, detail);
+	}
+
+	static AttemptFailure stalled(String detail) {
+		return new AttemptFailure(Cause.STALLED, Verdict.MAY_HAVE_RUN, true, detail);
+	}
+
+	/**
+	 * The kinds of failure.
+	 */
+	enum Cause {
+
+		/** No connection could be made. */
+		UNREACHABLE,
+
+		/** The target did not run the request. */
+		REJECTED,
+
+		/** The target failed, or the connection to it or to another VM broke off. */
+		FAILED,
+
+		/** The attempt made no progress, so it was given up. */
+		STALLED,
+
+		/** The other VM returned an error of its own. */
+		REMOTE_ERROR;
+
+		private final String label = name().toLowerCase(Locale.ROOT).replace('_', '-');
+
+		String label() {
+			return this.label;
+		}
+
+	}
+
+}
--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/AttemptHistory.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/AttemptHistory.java
@@ -23,6 +23,12 @@
 
 	private final Set<VmId> triedVms = new HashSet<>();
 
+	private final Set<TargetId> reachedTargets = new HashSet<>();
+
+	private boolean hasArrived;
+
+	private TargetId lastTarget;
+
 	private Verdict verdict = Verdict.NOT_RUN;
 
 	private int sendCount;
@@ -39,23 +45,29 @@
 
 	void recordSend(TargetId target) {
 		this.triedTargets.add(target);
+		this.lastTarget = target;
 		this.sendCount++;
 	}
 
 	void recordSend(VmId vm) {
 		this.triedVms.add(vm);
+		this.lastTarget = null;
 		this.sendCount++;
 	}
 
 	/**
 	 * Notes that an attempt failed.
-	 * @param attemptVerdict whether the request may have run in it
+	 * @param failure the failure
 	 */
-	void recordFailure(Verdict attemptVerdict) {
-		recordVerdict(attemptVerdict);
-		if (attemptVerdict != Verdict.NOT_RUN) {
+	void recordFailure(AttemptFailure failure) {
+		recordVerdict(failure.verdict());
+		if (failure.verdict() != Verdict.NOT_RUN) {
 			this.possibleRuns++;
 		}
+		this.hasArrived |= failure.reachedTarget();
+		if (failure.reachedTarget() && this.lastTarget != null) {
+			this.reachedTargets.add(this.lastTarget);
+		}
 	}
 
 	void recordVerdict(Verdict attemptVerdict) {
@@ -82,6 +94,22 @@
 		return this.sendCount < MAX_SENDS && this.possibleRuns + 1 < this.maxRuns;
 	}
 
+	/**
+	 * Returns whether any attempt that failed may have reached a target.
+	 * @return whether a further arrival is a repeated one
+	 */
+	boolean hasArrived() {
+		return this.hasArrived;
+	}
+
+	/**
+	 * Returns the targets of this region that failed attempts may have reached.
+	 * @return the targets
+	 */
+	Set<TargetId> reachedTargets() {
+		return this.reachedTargets;
+	}
+
 	Set<TargetId> triedTargets() {
 		return this.triedTargets;
 	}
--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/GatewayError.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/GatewayError.java
@@ -1,6 +1,7 @@
 package org.vanillatrestle.daemon.internal.gateway;
 
 import java.nio.charset.StandardCharsets;
+import java.util.Collection;
 import java.util.Locale;
 
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
@@ -8,6 +9,7 @@
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
+import org.vanillatrestle.TargetId;
 import org.vanillatrestle.Verdict;
 import org.vanillatrestle.daemon.internal.pipeline.AnswerHead;
 import org.vanillatrestle.daemon.internal.pipeline.AnswerSink;
@@ -74,7 +76,22 @@
 	 * @param retryAfterMillis the time after which to retry, -1 to omit it
 	 */
 	void respond(AnswerSink sink, long retryAfterMillis) {
+		respond(sink, retryAfterMillis, new DefaultHttpHeaders());
+	}
+
+	/**
+	 * Sends this error to the VM that forwarded the request.
+	 * @param sink receives the response
+	 * @param retryAfterMillis the time after which to retry, -1 to omit it
+	 * @param reachedTargets the targets that the request may have reached here
+	 */
+	void respondToVm(AnswerSink sink, long retryAfterMillis, Collection<TargetId> reachedTargets) {
 		HttpHeaders headers = new DefaultHttpHeaders();
+		RemoteError.write(headers, this, reachedTargets);
+		respond(sink, retryAfterMillis, headers);
+	}
+
+	private void respond(AnswerSink sink, long retryAfterMillis, HttpHeaders headers) {
 		headers.set(HttpHeaderNames.CONTENT_TYPE, "application/json");
 		headers.set(HeaderNames.VERDICT, verdict().name());
 		ObjectNode body = JsonNodeFactory.instance.objectNode();
--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/RequestDispatcher.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/RequestDispatcher.java
@@ -127,22 +127,23 @@
 			boolean forwarded) {
 		long maxWaitMillis = StartupWait.forDeclarationMillis(this.context.uptimeMillis(), details.deadlineMillis());
 		if (maxWaitMillis == 0 || this.heldRequests.isFull()) {
-			return respondWithError(GatewayError.NOT_DECLARED, details, sink);
+			return respondWithError(GatewayError.NOT_DECLARED, details, sink, forwarded);
 		}
 		return this.heldRequests.hold(maxWaitMillis,
 				(arrivedNanos) -> serve(request, details, sink, forwarded, arrivedNanos),
-				() -> respondWithError(GatewayError.NOT_DECLARED, details, sink));
+				() -> respondWithError(GatewayError.NOT_DECLARED, details, sink, forwarded));
 	}
 
 	private ConnectionListener serve(CallerRequest request, CallDetails details, AnswerSink sink, boolean forwarded,
 			long arrivedNanos) {
 		Optional<DeclaredRoute> route = this.routes.find(request.header(HttpHeaderNames.HOST), request.path());
 		if (route.isEmpty()) {
-			return respondWithError(forwarded ? GatewayError.NO_SERVICE : GatewayError.NO_ROUTE, details, sink);
+			return respondWithError(forwarded ? GatewayError.NO_SERVICE : GatewayError.NO_ROUTE, details, sink,
+					forwarded);
 		}
 		Optional<DeclaredService> service = findService(request, route.get(), forwarded);
 		if (service.isEmpty()) {
-			return respondWithError(GatewayError.NO_SERVICE, details, sink);
+			return respondWithError(GatewayError.NO_SERVICE, details, sink, forwarded);
 		}
 		RequestShape shape = new RequestShape(service.get(), details.promptTokens(), details.maxOutputTokens(),
 				details.promptParts(), route.get().pauseObjectiveMillis(), RequestShape.maxReadingShare(route.get()));
@@ -165,8 +166,15 @@
 				? Optional.ofNullable(this.declaration.services().get(new ServiceName(name))) : Optional.empty();
 	}
 
-	private ConnectionListener respondWithError(GatewayError error, CallDetails details, AnswerSink sink) {
-		error.respond(sink, (error.status() == 503) ? StartupWait.retryMillis(this.context.uptimeMillis()) : -1);
+	private ConnectionListener respondWithError(GatewayError error, CallDetails details, AnswerSink sink,
+			boolean forwarded) {
+		long retryMillis = (error.status() == 503) ? StartupWait.retryMillis(this.context.uptimeMillis()) : -1;
+		if (forwarded) {
+			error.respondToVm(sink, retryMillis, Set.of());
+		}
+		else {
+			error.respond(sink, retryMillis);
+		}
 		this.context.telemetry().recordCompletion("none", EventKind.REFUSED, error.name(), 0);
 		this.context.telemetry().log(EventKind.REFUSED, "request", details.requestId(), "reason", error.name());
 		return null;
--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/RequestTelemetry.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/RequestTelemetry.java
@@ -104,6 +104,19 @@
 		Counter.builder("vanillatrestle.gateway." + event).tags("service", service).register(this.registry).increment();
 	}
 
+	/**
+	 * Counts a decision about sending a request again.
+	 * @param service the service's name
+	 * @param cause why the attempt before failed
+	 * @param outcome whether the retry was granted, and at whose expense, or why not
+	 */
+	void countRetry(String service, String cause, String outcome) {
+		Counter.builder("vanillatrestle.gateway.retry.decisions")
+			.tags("service", service, "cause", cause, "outcome", outcome)
+			.register(this.registry)
+			.increment();
+	}
+
 	/**
 	 * Registers a gauge whose value is read whenever the metrics are scraped.
 	 * @param name the metric's name
--- /dev/null
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/RetryGate.java
@@ -0,0 +1,143 @@
+package org.vanillatrestle.daemon.internal.gateway;
+
+import java.util.Locale;
+import java.util.Optional;
+
+import org.vanillatrestle.Verdict;
+import org.vanillatrestle.daemon.internal.logging.EventKind;
+import org.vanillatrestle.internal.declaration.DeclaredRoute;
+import org.vanillatrestle.internal.gateway.RequestShape;
+import org.vanillatrestle.internal.gateway.RetryBudget;
+import org.vanillatrestle.internal.quarantine.Admission;
+
+/**
+ * Decides whether one request may be sent again after a failed attempt, and records the
+ * decision.
+ * <p>
+ * Invariant: each attempt that may have reached a target and is followed by another one
+ * is charged to the retry budget of the VM that the caller asked. Used only on the VM's
+ * event loop.
+ */
+final class RetryGate {
+
+	private final GatewayContext context;
+
+	private final DeclaredRoute route;
+
+	private final RequestShape shape;
+
+	private final AttemptHistory attempts;
+
+	private final RequestClock clock;
+
+	private final boolean forwarded;
+
+	private final RequestDecisionLog decisions;
+
+	RetryGate(GatewayContext context, DeclaredRoute route, RequestShape shape, AttemptHistory attempts,
+			RequestClock clock, boolean forwarded, RequestDecisionLog decisions) {
+		this.context = context;
+		this.route = route;
+		this.shape = shape;
+		this.attempts = attempts;
+		this.clock = clock;
+		this.forwarded = forwarded;
+		this.decisions = decisions;
+	}
+
+	/**
+	 * Requests permission to send the request again. A permitted retry is charged to the
+	 * budget if the failed attempt may have reached a target.
+	 * @param failure the failure of the last attempt
+	 * @return whether another attempt may follow
+	 */
+	boolean tryRetry(AttemptFailure failure) {
+		RetryBudget.State budget = this.context.retryBudget().state(this.shape.service().name(), System.nanoTime());
+		Optional<Denial> denial = findDenial(failure);
+		String outcome = denial.map(Denial::label).orElse(failure.reachedTarget() ? "charged" : "free");
+		this.decisions.add(denial.isEmpty() ? EventKind.RETRIED : EventKind.RETRY_DENIED, this.clock.elapsedMillis(),
+				"cause", failure.cause().label(), "outcome", outcome, "sends", this.attempts.sendCount(), "runs",
+				this.attempts.possibleRuns(), "budgetLeft", Math.floor(budget.left()), "requests", budget.requests(),
+				"retries", budget.retries(), "vms", budget.vmCount());
+		this.context.telemetry().countRetry(this.shape.service().name().value(), failure.cause().label(), outcome);
+		return denial.isEmpty();
+	}
+
+	private Optional<Denial> findDenial(AttemptFailure failure) {
+		if (failure.verdict() != Verdict.NOT_RUN && !this.route.isRepeatable()) {
+			return Optional.of(Denial.MAY_HAVE_RUN);
+		}
+		if (this.forwarded && failure.reachedTarget()) {
+			return Optional.of(Denial.FORWARDED);
+		}
+		if (!this.attempts.hasAttemptsLeft()) {
+			return Optional.of(Denial.ATTEMPTS);
+		}
+		if (this.clock.remainingMillis() <= 0) {
+			return Optional.of(Denial.DEADLINE);
+		}
+		if (isSuspended()) {
+			return Optional.of(Denial.SUSPENDED);
+		}
+		boolean isGranted = !failure.reachedTarget()
+				|| this.context.retryBudget().tryRetry(this.shape.service().name(), System.nanoTime());
+		return isGranted ? Optional.empty() : Optional.of(Denial.BUDGET);
+	}
+
+	private boolean isSuspended() {
+		return this.context.quarantine().admit(this.shape, System.nanoTime()).action() == Admission.Action.REFUSE;
+	}
+
+	/**
+	 * Checks whether another attempt may follow an error response of a target.
+	 * @return whether the route allows repeats and attempts are left
+	 */
+	boolean hasAttemptsLeftAfterRun() {
+		return !this.forwarded && this.route.isRepeatable() && this.attempts.hasAttemptsLeftAfterRun();
+	}
+
+	/**
+	 * Checks whether the request may switch away from a target that makes no progress.
+	 * @return whether an attempt, retry budget and another destination are available
+	 */
+	boolean canSwitchTarget() {
+		if (!hasAttemptsLeftAfterRun() || isSuspended()
+				|| this.context.retryBudget().state(this.shape.service().name(), System.nanoTime()).left() < 1) {
+			return false;
+		}
+		return PlacementPlan.choose(this.context, this.route, this.shape, this.attempts, !this.forwarded)
+			.hasDestination();
+	}
+
+	/**
+	 * Why a request is not sent again.
+	 */
+	private enum Denial {
+
+		/** The request may have run and must not be repeated. */
+		MAY_HAVE_RUN,
+
+		/** Only the VM that the caller asked repeats what has reached a target. */
+		FORWARDED,
+
+		/** No attempt is left. */
+		ATTEMPTS,
+
+		/** No time is left. */
+		DEADLINE,
+
+		/** A part of the prompt is suspended. */
+		SUSPENDED,
+
+		/** The retry budget is used up. */
+		BUDGET;
+
+		private final String label = "denied-" + name().toLowerCase(Locale.ROOT).replace('_', '-');
+
+		String label() {
+			return this.label;
+		}
+
+	}
+
+}
--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/RoutedAttempt.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/RoutedAttempt.java
@@ -12,7 +12,6 @@
 import org.vanillatrestle.daemon.internal.pipeline.AnswerHead;
 import org.vanillatrestle.daemon.internal.pipeline.AttemptHandle;
 import org.vanillatrestle.daemon.internal.pipeline.AttemptListener;
-import org.vanillatrestle.daemon.internal.pipeline.HeaderNames;
 import org.vanillatrestle.daemon.internal.target.TargetRequest;
 import org.vanillatrestle.daemon.protocol.AnswerMetadata;
 import org.vanillatrestle.daemon.protocol.OutgoingRequestOptions;
@@ -86,7 +85,7 @@
 
 	private AnswerMetadata responseFacts;
 
-	private Verdict remoteVerdict;
+	private RemoteError remoteError;
 
 	private int status;
 
@@ -170,12 +169,12 @@
 			scheduleProgressCheck(limitMillis - stalledMillis);
 			return;
 		}
-		if (!this.request.canSwitchTarget()) {
+		if (!this.request.retryGate().canSwitchTarget()) {
 			scheduleProgressCheck(limitMillis);
 			return;
 		}
 		this.handle.cancel();
-		abandon(Verdict.MAY_HAVE_RUN, "no progress for " + stalledMillis + " ms");
+		abandon(AttemptFailure.stalled("no progress for " + stalledMillis + " ms"));
 	}
 
 	String destination() {
@@ -209,14 +208,13 @@
 		this.status = head.status();
 		this.responseFacts = this.request.context().protocol().readAnswer(head);
 		this.hasKnownLength = head.hasLength();
-		String verdict = head.headers().get(HeaderNames.VERDICT);
-		if (this.remoteRequest.isPresent() && verdict != null) {
-			this.remoteVerdict = (verdict.equals(Verdict.NOT_RUN.name())) ? Verdict.NOT_RUN : Verdict.MAY_HAVE_RUN;
+		if (this.remoteRequest.isPresent()) {
+			this.remoteError = RemoteError.read(head.headers()).orElse(null);
 		}
 		this.targetRequest.ifPresent((inFlight) -> TargetStatements.apply(this.responseFacts, inFlight, this.request));
 		if (this.status / 100 == 2 && !this.responseFacts.signed()) {
 			this.handle.cancel();
-			abandon(Verdict.MAY_HAVE_RUN, "the success response has no signature");
+			abandon(AttemptFailure.failed("the success response has no signature"));
 			return;
 		}
 		if (this.status / 100 == 2) {
@@ -236,7 +234,7 @@
 		boolean eventSent = this.request.relay().body(data);
 		if (this.request.relay().isTooLong()) {
 			this.handle.cancel();
-			abandon(Verdict.MAY_HAVE_RUN, "the answer is longer than any may be");
+			abandon(AttemptFailure.failed("the answer is longer than any may be"));
 			return;
 		}
 		// Bytes count as progress only if they complete an event of a stream or belong to
@@ -249,7 +247,7 @@
 		}
 		if (this.request.relay().hasGap()) {
 			this.handle.cancel();
-			abandon(Verdict.MAY_HAVE_RUN, "the stream resumed with an event missing");
+			abandon(AttemptFailure.failed("the stream resumed with an event missing"));
 		}
 	}
 
@@ -272,37 +270,36 @@
 		if (this.responseFacts.notRun() || this.status / 100 != 2) {
 			this.promptStart.ifPresent(PromptStart::end);
 		}
-		if (this.remoteVerdict != null) {
-			boolean reachedTarget = this.remoteVerdict != Verdict.NOT_RUN;
-			this.request.onAttemptFailed(this.remoteVerdict, reachedTarget,
-					"the remote VM returned an error, status " + this.status);
+		if (this.remoteError != null) {
+			failRemotely(this.remoteError);
 			return;
 		}
 		if (this.responseFacts.notRun()) {
 			this.targetRequest.ifPresent(InFlightRequest::end);
-			this.request.onAttemptFailed(Verdict.NOT_RUN, true,
-					"the target did not run the request, status " + this.status);
+			this.request
+				.onAttemptFailed(AttemptFailure.rejected("the target did not run the request, status " + this.status));
 			return;
 		}
 		boolean success = this.status / 100 == 2;
 		if (success && this.responseFacts.encoded()) {
 			this.promptStart.ifPresent(PromptStart::end);
 			recordTargetFailure(false, now);
-			this.request.onAttemptFailed(Verdict.MAY_HAVE_RUN, true, "the response body has an unexpected encoding");
+			this.request.onAttemptFailed(AttemptFailure.failed("the response body has an unexpected encoding"));
 			return;
 		}
-		if (!success && (this.request.relay().isStarted() || (this.status >= 500 && this.request.hasAttemptsLeft()))) {
+		if (!success && (this.request.relay().isStarted()
+				|| (this.status >= 500 && this.request.retryGate().hasAttemptsLeftAfterRun()))) {
 			this.targetRequest.ifPresent((inFlight) -> inFlight.answeredWithError(now));
 			if (!this.request.relay().isStarted()) {
 				this.request.relay().storeResponse();
 			}
-			this.request.onAttemptFailed(Verdict.MAY_HAVE_RUN, true, "status " + this.status);
+			this.request.onAttemptFailed(AttemptFailure.failed("status " + this.status));
 			return;
 		}
 		if (!this.request.relay().end()) {
-			String detail = "the stream ended in the middle of an event";
-			this.targetRequest.ifPresentOrElse((inFlight) -> breakOff(inFlight, detail),
-					() -> this.request.onAttemptFailed(Verdict.MAY_HAVE_RUN, true, detail));
+			AttemptFailure failure = AttemptFailure.failed("the stream ended in the middle of an event");
+			this.targetRequest.ifPresentOrElse((inFlight) -> breakOff(inFlight, failure),
+					() -> this.request.onAttemptFailed(failure));
 			return;
 		}
 		if (success) {
@@ -324,41 +321,52 @@
 		if (this.done) {
 			return;
 		}
-		if (verdict == Verdict.NOT_RUN || this.targetRequest.isEmpty()) {
-			abandon(verdict, detail);
+		boolean unreachable = verdict == Verdict.NOT_RUN;
+		AttemptFailure failure = unreachable ? AttemptFailure.unreachable(detail) : AttemptFailure.failed(detail);
+		if (unreachable || this.targetRequest.isEmpty()) {
+			abandon(failure);
 			return;
 		}
 		this.done = true;
-		breakOff(this.targetRequest.get(), detail);
+		breakOff(this.targetRequest.get(), failure);
+	}
+
+	// tells apart what the other VM has refused by itself from what its targets rejected,
+	// although neither has run
+	private void failRemotely(RemoteError error) {
+		boolean reachedTarget = error.verdict() != Verdict.NOT_RUN;
+		this.request.onAttemptFailed(new AttemptFailure(AttemptFailure.Cause.REMOTE_ERROR, error.verdict(),
+				reachedTarget, "the remote VM returned an error, status " + this.status + ", " + error.code()
+						+ ", targets reached: " + error.reachedTargets().map(RemoteError::join).orElse("unknown")));
 	}
 
 	// the target closed the connection before the answer was complete
-	private void breakOff(InFlightRequest inFlight, String detail) {
+	private void breakOff(InFlightRequest inFlight, AttemptFailure failure) {
 		recordTargetFailure(false, System.nanoTime());
-		this.request.recordFailure(Verdict.MAY_HAVE_RUN, detail);
+		this.request.recordFailure(failure);
 		TargetCrashMonitor crashes = this.request.context().crashMonitor();
 		boolean hasSharedParts = !inFlight.sharedParts().isEmpty();
 		if (hasSharedParts && !this.hasProgressed) {
 			crashes.requestBrokeOff(inFlight, this.request.id(), this.promptStart.orElseThrow(),
-					() -> this.request.retryOrFail(Verdict.MAY_HAVE_RUN, true));
+					() -> this.request.retryOrFail(failure));
 			return;
 		}
 		if (hasSharedParts) {
 			crashes.answerBrokeOff(inFlight);
 		}
-		this.request.retryOrFail(Verdict.MAY_HAVE_RUN, true);
+		this.request.retryOrFail(failure);
 	}
 
-	private void abandon(Verdict verdict, String detail) {
+	private void abandon(AttemptFailure failure) {
 		if (this.done) {
 			return;
 		}
 		this.done = true;
 		this.promptStart.ifPresent(PromptStart::end);
-		boolean unreachable = verdict == Verdict.NOT_RUN;
+		boolean unreachable = !failure.reachedTarget();
 		recordTargetFailure(unreachable, System.nanoTime());
 		this.remoteRequest.ifPresent((inFlight) -> recordRemoteFailure(inFlight, unreachable));
-		this.request.onAttemptFailed(verdict, !unreachable, detail);
+		this.request.onAttemptFailed(failure);
 	}
 
 	private void recordRemoteFailure(RemoteEntries.RemoteRequest inFlight, boolean unreachable) {
--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/RoutedRequest.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/RoutedRequest.java
@@ -65,6 +65,8 @@
 
 	private final RequestDecisionLog decisions = new RequestDecisionLog();
 
+	private final RetryGate retryGate;
+
 	private RoutedAttempt attempt;
 
 	private Future<?> deadline;
@@ -92,6 +94,7 @@
 		long requestedMillis = (details.deadlineMillis() >= 0) ? details.deadlineMillis() : route.timeoutMillis();
 		this.clock = new RequestClock(arrivedNanos, Math.min(requestedMillis, route.timeoutMillis()));
 		this.attempts = new AttemptHistory(route.maxAttempts());
+		this.retryGate = new RetryGate(context, route, shape, this.attempts, this.clock, forwarded, this.decisions);
 		this.relay = new ResponseRelay(sink, route.isStreaming(), details.resumeAfterEvent(), context.responseMemory());
 	}
 
@@ -159,6 +162,7 @@
 	}
 
 	private void sendToTarget(TargetChoice choice, Admission admission, long now) {
+		countRepeat();
 		this.attempts.recordSend(choice.target().id());
 		this.decisions.addTargetChoice(choice, this.clock.elapsedMillis(), remainingMillis());
 		if (choice.target().report().limit().isFinite()) {
@@ -174,7 +178,15 @@
 		}
 	}
 
+	// at the VM that the caller asked, so that the sum over all VMs is what targets see
+	private void countRepeat() {
+		if (this.attempts.hasArrived()) {
+			this.context.telemetry().count("repeats", service());
+		}
+	}
+
 	private void sendToRemoteVm(RemoteEntries.RemoteChoice choice, long expectedMillis) {
+		countRepeat();
 		this.attempts.recordSend(choice.vm());
 		this.decisions.addRemoteChoice(choice, expectedMillis, this.plan.local(), this.clock.elapsedMillis());
 		this.context.telemetry().count("sent.away", service());
@@ -184,39 +196,33 @@
 
 	/**
 	 * Retries or fails the request after an attempt ended without a response to deliver.
-	 * @param attemptVerdict whether the request may have run in this attempt
-	 * @param reachedTarget whether the attempt reached a target
-	 * @param detail the cause of the failure, for the log
+	 * @param failure the failure of the attempt
 	 */
-	void onAttemptFailed(Verdict attemptVerdict, boolean reachedTarget, String detail) {
-		recordFailure(attemptVerdict, detail);
-		retryOrFail(attemptVerdict, reachedTarget);
+	void onAttemptFailed(AttemptFailure failure) {
+		recordFailure(failure);
+		retryOrFail(failure);
 	}
 
 	/**
 	 * Notes that an attempt ended without a response to deliver.
-	 * @param attemptVerdict whether the request may have run in this attempt
-	 * @param detail the cause of the failure, for the log
+	 * @param failure the failure of the attempt
 	 */
-	void recordFailure(Verdict attemptVerdict, String detail) {
-		this.attempts.recordFailure(attemptVerdict);
+	void recordFailure(AttemptFailure failure) {
+		this.attempts.recordFailure(failure);
 		this.decisions.add(EventKind.ATTEMPT_FAILED, this.clock.elapsedMillis(), "at", this.attempt.destination(),
-				"verdict", attemptVerdict, "detail", detail, "lastEvent", this.relay.lastEventId());
+				"verdict", failure.verdict(), "reachedTarget", failure.reachedTarget(), "detail", failure.detail(),
+				"lastEvent", this.relay.lastEventId());
 	}
 
 	/**
 	 * Retries or fails the request after a failed attempt.
-	 * @param attemptVerdict whether the request may have run in this attempt
-	 * @param reachedTarget whether the attempt reached a target
+	 * @param failure the failure of the attempt
 	 */
-	void retryOrFail(Verdict attemptVerdict, boolean reachedTarget) {
+	void retryOrFail(AttemptFailure failure) {
 		if (this.ended) {
 			return;
 		}
-		if (canRetry(attemptVerdict, reachedTarget)) {
-			this.decisions.add(EventKind.RETRIED, this.clock.elapsedMillis(), "sends", this.attempts.sendCount(),
-					"runs", this.attempts.possibleRuns(), "budgetLeft",
-					Math.floor(this.context.retryBudget().left(this.shape.service().name(), System.nanoTime())));
+		if (this.retryGate.tryRetry(failure)) {
 			this.context.telemetry().count("retries", service());
 			place();
 			return;
@@ -224,21 +230,6 @@
 		fail(GatewayError.TARGET_FAILED);
 	}
 
-	private boolean canRetry(Verdict attemptVerdict, boolean reachedTarget) {
-		boolean allowed = attemptVerdict == Verdict.NOT_RUN || this.route.isRepeatable();
-		if (this.forwarded && reachedTarget) {
-			return false;
-		}
-		if (!allowed || !this.attempts.hasAttemptsLeft() || remainingMillis() <= 0 || isSuspended()) {
-			return false;
-		}
-		return !reachedTarget || this.context.retryBudget().tryRetry(this.shape.service().name(), System.nanoTime());
-	}
-
-	private boolean isSuspended() {
-		return this.context.quarantine().admit(this.shape, System.nanoTime()).action() == Admission.Action.REFUSE;
-	}
-
 	private void fail(GatewayError errorIfMayHaveRun) {
 		if (this.relay.endIncomplete()) {
 			finish(EventKind.FAILED, errorIfMayHaveRun.name());
@@ -249,7 +240,7 @@
 					MIN_RETRY_AFTER_MILLIS);
 			return;
 		}
-		errorIfMayHaveRun.respond(this.sink, -1);
+		respond(errorIfMayHaveRun, -1);
 		finish(EventKind.FAILED, errorIfMayHaveRun.name());
 	}
 
@@ -268,10 +259,18 @@
 			return;
 		}
 		this.retryAfterMillis = millisUntilRetry;
-		error.respond(this.sink, millisUntilRetry);
+		respond(error, millisUntilRetry);
 		finish(EventKind.REFUSED, error.name());
 	}
 
+	private void respond(GatewayError error, long millisUntilRetry) {
+		if (this.forwarded) {
+			error.respondToVm(this.sink, millisUntilRetry, this.attempts.reachedTargets());
+			return;
+		}
+		error.respond(this.sink, millisUntilRetry);
+	}
+
 	void onResponseDelivered() {
 		if (!this.timing.hasFirstPart()) {
 			this.timing.recordPart(this.clock.elapsedMillis());
@@ -357,25 +356,8 @@
 		return this.ended;
 	}
 
-	/**
-	 * Checks whether another attempt may follow an error response of a target.
-	 * @return whether the route allows repeats and attempts are left
-	 */
-	boolean hasAttemptsLeft() {
-		return !this.forwarded && this.route.isRepeatable() && this.attempts.hasAttemptsLeftAfterRun();
-	}
-
-	/**
-	 * Checks whether the request may switch away from a target that makes no progress.
-	 * @return whether an attempt, retry budget and another destination are available
-	 */
-	boolean canSwitchTarget() {
-		if (!hasAttemptsLeft() || isSuspended()
-				|| this.context.retryBudget().left(this.shape.service().name(), System.nanoTime()) < 1) {
-			return false;
-		}
-		return PlacementPlan.choose(this.context, this.route, this.shape, this.attempts, !this.forwarded)
-			.hasDestination();
+	RetryGate retryGate() {
+		return this.retryGate;
 	}
 
 	String id() {
--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/logging/EventKind.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/logging/EventKind.java
@@ -63,6 +63,8 @@
 	ATTEMPT_FAILED,
 	/** A request is retried on another target. */
 	RETRIED,
+	/** A request is not retried after a failed attempt. */
+	RETRY_DENIED,
 	/**
 	 * Several VMs of another region can't be reached, so no requests are sent to that
 	 * region for some time.
--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/pipeline/HeaderNames.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/pipeline/HeaderNames.java
@@ -34,6 +34,17 @@
 	 */
 	public static final AsciiString VERDICT = AsciiString.cached("Vanillatrestle-Verdict");
 
+	/**
+	 * The code of the error, in error answers to another VM.
+	 */
+	public static final AsciiString ERROR = AsciiString.cached("Vanillatrestle-Error");
+
+	/**
+	 * The targets that the request may have reached, in error answers to another VM. The
+	 * value is empty if it has reached none.
+	 */
+	public static final AsciiString REACHED_TARGETS = AsciiString.cached("Vanillatrestle-Reached-Targets");
+
 	/**
 	 * The deadline in milliseconds that the caller requests.
 	 */
