Charge the retry budget for what targets behind another VM rejected

Cause: an error of another VM with the verdict NOT_RUN counted as if it had reached no target, so the next send was free. But a target there may have got the request and have rejected it; the rule counts that arrival.

The VM that forwards now charges its budget unless the other VM says that no target was reached; a VM that doesn't say is taken to have reached one. Errors before any send stay free.

--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/RoutedAttempt.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/RoutedAttempt.java
@@ -331,13 +331,14 @@
 		breakOff(this.targetRequest.get(), failure);
 	}
 
-	// tells apart what the other VM has refused by itself from what its targets rejected,
-	// although neither has run
+	// a request that has not run may still have arrived at a target there, which rejected
+	// it
 	private void failRemotely(RemoteError error) {
-		boolean reachedTarget = error.verdict() != Verdict.NOT_RUN;
-		this.request.onAttemptFailed(new AttemptFailure(AttemptFailure.Cause.REMOTE_ERROR, error.verdict(),
-				reachedTarget, "the remote VM returned an error, status " + this.status + ", " + error.code()
-						+ ", targets reached: " + error.reachedTargets().map(RemoteError::join).orElse("unknown")));
+		this.request.onAttemptFailed(
+				new AttemptFailure(AttemptFailure.Cause.REMOTE_ERROR, error.verdict(), error.mayHaveReachedTarget(),
+						"the remote VM returned an error, status " + this.status + ", " + error.code()
+								+ ", targets reached: "
+								+ error.reachedTargets().map(RemoteError::join).orElse("unknown")));
 	}
 
 	// the target closed the connection before the answer was complete
