Ask no target twice for a request by way of several VMs of its region

Callers waited for a request that travelled to two VMs of one region, each of which sent it to the same target, which rejected it twice; both arrivals count as repeats but the first.

Cause: the VM that forwards did not learn which targets had got the request, nor that no other target of that region could take it. A forwarded request now names the targets that it has been sent to, which the receiving VM leaves out; an error of that VM names those reached there, and says whether another target of the region could still take the request. If none can, the region gets the request no more, and it goes to another region or is refused at once.

--- a/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/gateway/RemoteEntries.java
+++ b/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/gateway/RemoteEntries.java
@@ -8,6 +8,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Predicate;
 
 import org.apache.commons.rng.UniformRandomProvider;
 import org.vanillatrestle.RegionId;
@@ -121,15 +122,16 @@
 	 * @param route the route of the request; if it is bound to regions, only these are
 	 * used
 	 * @param service the service
-	 * @param tried the VMs that the request was already sent to
+	 * @param untried whether the request may still be sent to a VM
 	 * @param nowNanos the monotonic time
 	 * @return the choice, empty if no usable VM has free capacity
 	 */
-	public Optional<RemoteChoice> choose(DeclaredRoute route, ServiceName service, Set<VmId> tried, long nowNanos) {
+	public Optional<RemoteChoice> choose(DeclaredRoute route, ServiceName service, Predicate<EntryReport> untried,
+			long nowNanos) {
 		List<RemoteChoice> best = new ArrayList<>();
 		long bestCost = Long.MAX_VALUE;
 		for (EntryReport entry : this.entries) {
-			boolean usable = route.allows(entry.region()) && !tried.contains(entry.vm()) && isUsable(entry, nowNanos);
+			boolean usable = route.allows(entry.region()) && untried.test(entry) && isUsable(entry, nowNanos);
 			Optional<ServiceWait> reported = usable ? waitOf(entry, service) : Optional.empty();
 			long wait = reported.map(ServiceWait::waitMillis).orElse(-1L);
 			long cost = wait + (hasNoPenalty(route, service, entry.region()) ? 0 : BOUND_REGION_PENALTY_MILLIS);
--- a/vanillatrestle-core/src/test/java/org/vanillatrestle/internal/gateway/RemoteEntriesTests.java
+++ b/vanillatrestle-core/src/test/java/org/vanillatrestle/internal/gateway/RemoteEntriesTests.java
@@ -47,7 +47,7 @@
 	}
 
 	private Optional<RemoteEntries.RemoteChoice> choose(long nowMillis) {
-		return this.remotes.choose(route(), MODEL, Set.of(), TimeUnit.MILLISECONDS.toNanos(nowMillis));
+		return this.remotes.choose(route(), MODEL, (entry) -> true, TimeUnit.MILLISECONDS.toNanos(nowMillis));
 	}
 
 	private String chosenRegion(long nowMillis) {
--- a/vanillatrestle-core/src/test/java/org/vanillatrestle/internal/gateway/RemoteReplayTests.java
+++ b/vanillatrestle-core/src/test/java/org/vanillatrestle/internal/gateway/RemoteReplayTests.java
@@ -191,7 +191,7 @@
 		public Optional<VmId> choose(long nowMillis) {
 			DeclaredRoute route = new DeclaredRoute("route", "a.example", "/", RouteKind.IDEMPOTENT, false, 1000, 400,
 					800, 0, 2, Set.of(), List.of(new ServiceShare(MODEL, 1)));
-			Optional<RemoteEntries.RemoteChoice> choice = this.remotes.choose(route, MODEL, Set.of(),
+			Optional<RemoteEntries.RemoteChoice> choice = this.remotes.choose(route, MODEL, (entry) -> true,
 					TimeUnit.MILLISECONDS.toNanos(nowMillis));
 			choice.ifPresent((found) -> this.choices.put(found.vm(), found));
 			return choice.map(RemoteEntries.RemoteChoice::vm);
--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/AttemptHistory.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/AttemptHistory.java
@@ -3,9 +3,12 @@
 import java.util.HashSet;
 import java.util.Set;
 
+import org.vanillatrestle.RegionId;
 import org.vanillatrestle.TargetId;
 import org.vanillatrestle.Verdict;
 import org.vanillatrestle.VmId;
+import org.vanillatrestle.internal.fleet.EntryReport;
+import org.vanillatrestle.internal.gateway.RemoteEntries;
 
 /**
  * The attempts made for one request, which bound further ones.
@@ -25,6 +28,8 @@
 
 	private final Set<TargetId> reachedTargets = new HashSet<>();
 
+	private final Set<RegionId> exhaustedRegions = new HashSet<>();
+
 	private boolean hasArrived;
 
 	private TargetId lastTarget;
@@ -94,6 +99,40 @@
 		return this.sendCount < MAX_SENDS && this.possibleRuns + 1 < this.maxRuns;
 	}
 
+	/**
+	 * Notes the error of a VM of another region. The region gets the request again only
+	 * if another target there could take it, then also by way of the same VM.
+	 * @param choice the VM and its region
+	 * @param error the error
+	 */
+	void recordRemoteError(RemoteEntries.RemoteChoice choice, RemoteError error) {
+		Set<TargetId> reached = error.reachedTargets().orElse(Set.of());
+		excludeTargets(reached);
+		if (!error.hasMoreTargets()) {
+			this.exhaustedRegions.add(choice.region());
+		}
+		else if (!reached.isEmpty()) {
+			this.triedVms.remove(choice.vm());
+		}
+	}
+
+	/**
+	 * Excludes targets that the request has reached by way of other VMs.
+	 * @param targets the targets
+	 */
+	void excludeTargets(Set<TargetId> targets) {
+		this.triedTargets.addAll(targets);
+	}
+
+	/**
+	 * Checks whether the request may be sent to a VM of another region.
+	 * @param entry the VM
+	 * @return whether neither the VM nor all targets of its region have been tried
+	 */
+	boolean isUntried(EntryReport entry) {
+		return !this.triedVms.contains(entry.vm()) && !this.exhaustedRegions.contains(entry.region());
+	}
+
 	/**
 	 * Returns whether any attempt that failed may have reached a target.
 	 * @return whether a further arrival is a repeated one
@@ -114,10 +153,6 @@
 		return this.triedTargets;
 	}
 
-	Set<VmId> triedVms() {
-		return this.triedVms;
-	}
-
 	int sendCount() {
 		return this.sendCount;
 	}
--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/GatewayError.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/GatewayError.java
@@ -84,10 +84,12 @@
 	 * @param sink receives the response
 	 * @param retryAfterMillis the time after which to retry, -1 to omit it
 	 * @param reachedTargets the targets that the request may have reached here
+	 * @param hasMoreTargets whether another target of this region could still take it
 	 */
-	void respondToVm(AnswerSink sink, long retryAfterMillis, Collection<TargetId> reachedTargets) {
+	void respondToVm(AnswerSink sink, long retryAfterMillis, Collection<TargetId> reachedTargets,
+			boolean hasMoreTargets) {
 		HttpHeaders headers = new DefaultHttpHeaders();
-		RemoteError.write(headers, this, reachedTargets);
+		RemoteError.write(headers, this, reachedTargets, hasMoreTargets);
 		respond(sink, retryAfterMillis, headers);
 	}
 
--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/PlacementPlan.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/PlacementPlan.java
@@ -40,7 +40,7 @@
 		Optional<TargetChoice> target = route.allows(context.region())
 				? context.targets().choose(shape, attempts.triedTargets(), now) : Optional.empty();
 		Optional<RemoteEntries.RemoteChoice> vm = mayForward
-				? context.remoteVms().choose(route, shape.service().name(), attempts.triedVms(), now)
+				? context.remoteVms().choose(route, shape.service().name(), attempts::isUntried, now)
 				: Optional.empty();
 		long readMillis = context.targets().readMillis(shape);
 		return new PlacementPlan(target, vm,
--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/RemoteError.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/RemoteError.java
@@ -21,8 +21,10 @@
  * @param verdict whether the request may have run
  * @param reachedTargets the targets that the request may have reached, empty if the other
  * VM does not say
+ * @param hasMoreTargets whether another target of the VM's region could still take the
+ * request, as far as known
  */
-record RemoteError(String code, Verdict verdict, Optional<Set<TargetId>> reachedTargets) {
+record RemoteError(String code, Verdict verdict, Optional<Set<TargetId>> reachedTargets, boolean hasMoreTargets) {
 
 	private static final String SEPARATOR = ",";
 
@@ -31,9 +33,11 @@
 	 * @param headers the headers of the answer
 	 * @param error the error
 	 * @param reached the targets that the request may have reached here
+	 * @param hasMoreTargets whether another target of this region could still take it
 	 */
-	static void write(HttpHeaders headers, GatewayError error, Collection<TargetId> reached) {
+	static void write(HttpHeaders headers, GatewayError error, Collection<TargetId> reached, boolean hasMoreTargets) {
 		headers.set(HeaderNames.ERROR, error.name());
+		headers.set(HeaderNames.MORE_TARGETS, Boolean.toString(hasMoreTargets));
 		headers.set(HeaderNames.REACHED_TARGETS, join(reached));
 	}
 
@@ -50,7 +54,8 @@
 		String code = headers.get(HeaderNames.ERROR, "unknown");
 		return Optional
 			.of(new RemoteError(code, verdict.equals(Verdict.NOT_RUN.name()) ? Verdict.NOT_RUN : Verdict.MAY_HAVE_RUN,
-					Optional.ofNullable(headers.get(HeaderNames.REACHED_TARGETS)).map(RemoteError::split)));
+					Optional.ofNullable(headers.get(HeaderNames.REACHED_TARGETS)).map(RemoteError::split),
+					!"false".equals(headers.get(HeaderNames.MORE_TARGETS))));
 	}
 
 	static String join(Collection<TargetId> targets) {
@@ -59,6 +64,9 @@
 
 	static Set<TargetId> split(String header) {
 		Set<TargetId> targets = new HashSet<>();
+		if (header == null) {
+			return targets;
+		}
 		for (String id : header.split(SEPARATOR)) {
 			if (Names.isValid(id)) {
 				targets.add(new TargetId(id));
@@ -67,6 +75,11 @@
 		return targets;
 	}
 
+	@Override
+	public String toString() {
+		return this.code + ", targets reached: " + this.reachedTargets.map(RemoteError::join).orElse("unknown");
+	}
+
 	/**
 	 * Returns whether the request may have arrived at a target. A VM that does not say so
 	 * is taken to have sent it.
--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/RequestDispatcher.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/RequestDispatcher.java
@@ -170,7 +170,7 @@
 			boolean forwarded) {
 		long retryMillis = (error.status() == 503) ? StartupWait.retryMillis(this.context.uptimeMillis()) : -1;
 		if (forwarded) {
-			error.respondToVm(sink, retryMillis, Set.of());
+			error.respondToVm(sink, retryMillis, Set.of(), true);
 		}
 		else {
 			error.respond(sink, retryMillis);
--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/RoutedAttempt.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/RoutedAttempt.java
@@ -12,6 +12,7 @@
 import org.vanillatrestle.daemon.internal.pipeline.AnswerHead;
 import org.vanillatrestle.daemon.internal.pipeline.AttemptHandle;
 import org.vanillatrestle.daemon.internal.pipeline.AttemptListener;
+import org.vanillatrestle.daemon.internal.pipeline.HeaderNames;
 import org.vanillatrestle.daemon.internal.target.TargetRequest;
 import org.vanillatrestle.daemon.protocol.AnswerMetadata;
 import org.vanillatrestle.daemon.protocol.OutgoingRequestOptions;
@@ -128,9 +129,11 @@
 				this.request.relay().lastEventId(), this.copyFrom);
 		HttpHeaders headers = context.protocol().outgoingHeaders(this.request.request().headers(), terms);
 		headers.remove(SERVICE_HEADER);
+		headers.remove(HeaderNames.TRIED_TARGETS);
 		headers.set(HttpHeaderNames.HOST, this.request.request().header(HttpHeaderNames.HOST));
 		if (this.remoteRequest.isPresent()) {
 			headers.set(SERVICE_HEADER, this.request.shape().service().name().value());
+			headers.set(HeaderNames.TRIED_TARGETS, RemoteError.join(this.request.attempts().triedTargets()));
 		}
 		String query = this.request.request().query();
 		String uri = this.request.request().path() + (query.isEmpty() ? "" : '?' + query);
@@ -334,11 +337,10 @@
 	// a request that has not run may still have arrived at a target there, which rejected
 	// it
 	private void failRemotely(RemoteError error) {
-		this.request.onAttemptFailed(
-				new AttemptFailure(AttemptFailure.Cause.REMOTE_ERROR, error.verdict(), error.mayHaveReachedTarget(),
-						"the remote VM returned an error, status " + this.status + ", " + error.code()
-								+ ", targets reached: "
-								+ error.reachedTargets().map(RemoteError::join).orElse("unknown")));
+		AttemptFailure failure = new AttemptFailure(AttemptFailure.Cause.REMOTE_ERROR, error.verdict(),
+				error.mayHaveReachedTarget(), "the remote VM returned an error, status " + this.status + ", " + error);
+		this.request.attempts().recordRemoteError(this.remoteRequest.orElseThrow().choice(), error);
+		this.request.onAttemptFailed(failure);
 	}
 
 	// the target closed the connection before the answer was complete
--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/RoutedRequest.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/RoutedRequest.java
@@ -9,6 +9,7 @@
 import org.vanillatrestle.daemon.internal.logging.EventKind;
 import org.vanillatrestle.daemon.internal.pipeline.AnswerSink;
 import org.vanillatrestle.daemon.internal.pipeline.CallerRequest;
+import org.vanillatrestle.daemon.internal.pipeline.HeaderNames;
 import org.vanillatrestle.daemon.protocol.CallDetails;
 import org.vanillatrestle.internal.declaration.DeclaredRoute;
 import org.vanillatrestle.internal.gateway.Placement;
@@ -99,7 +100,10 @@
 	}
 
 	void start() {
-		if (!this.forwarded) {
+		if (this.forwarded) {
+			this.attempts.excludeTargets(RemoteError.split(this.request.header(HeaderNames.TRIED_TARGETS)));
+		}
+		else {
 			this.context.retryBudget().recordRequest(this.shape.service().name(), this.clock.arrivedNanos());
 		}
 		this.deadline = this.context.loop()
@@ -265,7 +269,10 @@
 
 	private void respond(GatewayError error, long millisUntilRetry) {
 		if (this.forwarded) {
-			error.respondToVm(this.sink, millisUntilRetry, this.attempts.reachedTargets());
+			boolean hasMoreTargets = error == GatewayError.NOT_RUN
+					&& PlacementPlan.choose(this.context, this.route, this.shape, this.attempts, false)
+						.hasDestination();
+			error.respondToVm(this.sink, millisUntilRetry, this.attempts.reachedTargets(), hasMoreTargets);
 			return;
 		}
 		error.respond(this.sink, millisUntilRetry);
@@ -348,6 +355,10 @@
 		return this.shape;
 	}
 
+	AttemptHistory attempts() {
+		return this.attempts;
+	}
+
 	ResponseRelay relay() {
 		return this.relay;
 	}
--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/pipeline/HeaderNames.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/pipeline/HeaderNames.java
@@ -45,6 +45,18 @@
 	 */
 	public static final AsciiString REACHED_TARGETS = AsciiString.cached("Vanillatrestle-Reached-Targets");
 
+	/**
+	 * Whether another target of the region could still take the request, in error answers
+	 * to another VM.
+	 */
+	public static final AsciiString MORE_TARGETS = AsciiString.cached("Vanillatrestle-More-Targets");
+
+	/**
+	 * The targets to which the request must not be sent again, in requests forwarded to
+	 * another VM.
+	 */
+	public static final AsciiString TRIED_TARGETS = AsciiString.cached("Vanillatrestle-Tried-Targets");
+
 	/**
 	 * The deadline in milliseconds that the caller requests.
 	 */
