Stop sending to a target whose address another target has taken, at all VMs

Cause: a 421 ended the attempt without any effect, so the VM that got it, its neighbours and the regions that asked them chose the dead incarnation until its reports ran out, each time for an arrival. A 421 proves that the named incarnation is gone from its address: the VM now records it as gone and tells the fleet, as it does for a target that says that it is leaving. A later start of the target under the same id is not affected.

--- a/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/fleet/TargetTable.java
+++ b/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/fleet/TargetTable.java
@@ -120,9 +120,25 @@
 	 * incarnation is not the latest one
 	 */
 	public Optional<TargetReport> markDraining(TargetId target, long startedMillis, long nowNanos) {
+		return isLatest(target, startedMillis) ? advance(target, TargetCondition.DRAINING, nowNanos) : Optional.empty();
+	}
+
+	/**
+	 * Records that an incarnation of a target has ended without a report.
+	 * @param target the target
+	 * @param startedMillis the start time of the incarnation, in milliseconds of Unix
+	 * time
+	 * @param nowNanos the monotonic time
+	 * @return the changed report, empty if the target is already gone, or the incarnation
+	 * is not the latest one
+	 */
+	public Optional<TargetReport> markGone(TargetId target, long startedMillis, long nowNanos) {
+		return isLatest(target, startedMillis) ? markGone(target, nowNanos) : Optional.empty();
+	}
+
+	private boolean isLatest(TargetId target, long startedMillis) {
 		Row row = this.rows.get(target);
-		boolean latest = row != null && row.report.startedMillis() == startedMillis;
-		return latest ? advance(target, TargetCondition.DRAINING, nowNanos) : Optional.empty();
+		return row != null && row.report.startedMillis() == startedMillis;
 	}
 
 	/**
--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/fleet/EntryFleet.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/fleet/EntryFleet.java
@@ -133,6 +133,11 @@
 		this.targets.markDraining(target, bornMillis, System.nanoTime()).ifPresent(this::publish);
 	}
 
+	@Override
+	public void targetReplaced(TargetId target, long bornMillis) {
+		this.targets.markGone(target, bornMillis, System.nanoTime()).ifPresent(this::publish);
+	}
+
 	@Override
 	public void limitChanged(TargetId target, long bornMillis, double requestsPerSecond) {
 		this.targets.changeLimit(target, bornMillis, requestsPerSecond, System.nanoTime()).ifPresent(this::publish);
--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/fleet/TargetStatementListener.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/fleet/TargetStatementListener.java
@@ -15,6 +15,15 @@
 	 */
 	void targetLeaving(TargetId target, long bornMillis);
 
+	/**
+	 * Called when another target answered at the address of a target, which has ended
+	 * without a report.
+	 * @param target the target that has ended
+	 * @param bornMillis start time of the incarnation that has ended, in Unix
+	 * milliseconds
+	 */
+	void targetReplaced(TargetId target, long bornMillis);
+
 	/**
 	 * Called when an answer states another limit than the one known.
 	 * @param target the target
--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/EntryVm.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/EntryVm.java
@@ -110,6 +110,8 @@
 
 	private volatile boolean shuttingDown;
 
+	private volatile int dataCentreVmCount;
+
 	/**
 	 * Creates the components of an entry VM.
 	 * @param settings the VM's settings
@@ -162,6 +164,7 @@
 				new HttpRoutes(List.of(this.dispatcher.httpRoute(true)))));
 		this.forwardServer.listen(forwardAddress());
 		this.telemetry.gauge("vanillatrestle.gateway.connections", this.callerServer::connectionCount);
+		this.telemetry.gauge("vanillatrestle.gateway.data.centre.vms", () -> this.dataCentreVmCount);
 		this.loop.execute(this.fleet::start);
 		this.loop.scheduleAtFixedRate(this.targets::removeGone, HOUSEKEEPING_PERIOD_MILLIS, HOUSEKEEPING_PERIOD_MILLIS,
 				TimeUnit.MILLISECONDS);
@@ -282,8 +285,10 @@
 		long now = System.nanoTime();
 		this.targets.setRegionEntries(vms(activeEntries, (entry) -> entry.region().equals(this.settings.region())),
 				now);
-		this.retryBudget
-			.setMembers(vms(activeEntries, (entry) -> entry.dataCentre().equals(this.settings.dataCentre())), now);
+		SortedSet<VmId> dataCentreVms = vms(activeEntries,
+				(entry) -> entry.dataCentre().equals(this.settings.dataCentre()));
+		this.retryBudget.setMembers(dataCentreVms, now);
+		this.dataCentreVmCount = dataCentreVms.size();
 		this.quarantine.setMembers(vms(activeEntries, (entry) -> true), this.fleet.isConnected());
 	}
 
--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/TargetStatements.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/TargetStatements.java
@@ -5,8 +5,8 @@
 import org.vanillatrestle.internal.gateway.InFlightRequest;
 
 /**
- * Applies what a target's response states about further requests: that it is leaving,
- * wants a pause, or takes only so many a second.
+ * Applies what a target's response states about further requests: that it is leaving or
+ * has taken the place of another target, wants a pause, or takes only so many a second.
  * <p>
  * Stateless. Used only on the VM's event loop.
  */
@@ -27,6 +27,9 @@
 		if (response.leaving()) {
 			context.targetStatements().targetLeaving(inFlight.target().id(), inFlight.targetStartedMillis());
 		}
+		if (response.misdirected()) {
+			context.targetStatements().targetReplaced(inFlight.target().id(), inFlight.targetStartedMillis());
+		}
 		if (response.pauseMillis() > 0) {
 			inFlight.pauseRequested(response.pauseMillis(), System.nanoTime());
 			context.telemetry()
--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/protocol/AnswerMetadata.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/protocol/AnswerMetadata.java
@@ -8,6 +8,8 @@
  * Immutable and thread safe.
  *
  * @param notRun whether the target guarantees that it has not run the request
+ * @param misdirected whether the answering target is not the one that the request
+ * expected, which is no longer at this address
  * @param signed whether the answer carries the target's signature
  * @param encoded whether the body is encoded and so differs from what the target produced
  * @param leaving whether the target is leaving and should get no new requests
@@ -17,6 +19,6 @@
  * together, {@link Double#POSITIVE_INFINITY} if it states that there is no limit, empty
  * if the answer says nothing about it
  */
-public record AnswerMetadata(boolean notRun, boolean signed, boolean encoded, boolean leaving, long pauseMillis,
-		OptionalDouble requestsPerSecond) {
+public record AnswerMetadata(boolean notRun, boolean misdirected, boolean signed, boolean encoded, boolean leaving,
+		long pauseMillis, OptionalDouble requestsPerSecond) {
 }
