Count the attempts of both VMs of a forwarded request together

What callers saw: up to seven attempts were made for one request of a contract while targets failed; docs/design/policy.md allows four.

Cause: the VM that receives a forwarded request began to count at one, and the VM that forwards it counted the forward as one attempt, however many the other VM had made. Both retried, each up to its own maximum.

Evidence: ThreeRegionTests.shouldMakeFourAttemptsAtMostOnBothVmsTogether, with three unreachable targets in the caller's region and five that break off in another. Before: three attempts at home, then "Expected size: 1 but was: 4" runs of the same request at targets of the other region. After: one run, Vanillatrestle-Attempts 4; all 6 tests of the class pass.

The forwarded request already carries the number of its attempt. The receiving VM continues from it and leaves the last attempt to the sender. When a forward ends and may have reached targets, the sender counts all attempts that it left to the other VM, since an answer doesn't say how many were made and a lost link can't. A forward that was refused, or never written whole, counts as one. So attempts that reach a target are never more than the maximum, and a request whose link is lost still has one attempt at home.

--- a/vanillatrestle-bench/src/test/java/org/vanillatrestle/bench/serving/ThreeRegionTests.java
+++ b/vanillatrestle-bench/src/test/java/org/vanillatrestle/bench/serving/ThreeRegionTests.java
@@ -1,7 +1,9 @@
 package org.vanillatrestle.bench.serving;
 
+import java.io.IOException;
 import java.net.http.HttpResponse;
 import java.nio.file.Path;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Set;
 import java.util.stream.Collectors;
@@ -26,6 +28,8 @@
 import org.vanillatrestle.bench.internal.engine.StandInEngine;
 import org.vanillatrestle.bench.internal.service.ServiceSettings;
 import org.vanillatrestle.bench.internal.service.StandInService;
+import org.vanillatrestle.bench.internal.standin.Fault;
+import org.vanillatrestle.bench.internal.standin.FaultMode;
 import org.vanillatrestle.bench.internal.standin.StandInTarget;
 import org.vanillatrestle.daemon.internal.pipeline.BearerKeys;
 
@@ -100,6 +104,41 @@
 		assertThat(answer.body()).endsWith("data: [DONE]\n\n");
 	}
 
+	@Test
+	void shouldMakeFourAttemptsAtMostOnBothVmsTogether() throws Exception {
+		List<StandInTarget> remote = startEngines("koshi", 4);
+		List<StandInTarget> local = startEngines("lumbini", 3);
+		Regions.await(() -> chat("lumbini", EVERYWHERE).statusCode() == 200
+				&& local.stream().noneMatch((used) -> used.runs().isEmpty()));
+		engine.fault(Fault.of(FaultMode.CRASH_AFTER, 0));
+		remote.forEach((broken) -> broken.fault(Fault.of(FaultMode.CRASH_AFTER, 0)));
+		local.forEach(StandInTarget::close);
+
+		HttpResponse<String> answer = chat("lumbini", EVERYWHERE);
+
+		engine.fault(Fault.NONE);
+		remote.forEach((broken) -> broken.announcer().leave().join());
+		remote.forEach(StandInTarget::close);
+		local.forEach((gone) -> gone.announcer().leave().join());
+		Regions
+			.await(() -> chat("bagmati", EVERYWHERE).statusCode() == 200 && chat("bagmati", BOUND).statusCode() == 503);
+		assertThat(answer.headers().firstValue("Vanillatrestle-Attempts")).contains("4");
+		String id = answer.headers().firstValue("Vanillatrestle-Request-Id").orElseThrow();
+		remote.add(engine);
+		assertThat(remote.stream().flatMap((broken) -> broken.runs().stream()))
+			.filteredOn((run) -> id.equals(run.requestId()))
+			.hasSize(1);
+	}
+
+	private static List<StandInTarget> startEngines(String region, int count) throws IOException {
+		List<StandInTarget> started = new ArrayList<>();
+		for (int i = 0; i < count; i++) {
+			started.add(StandInEngine.start(EngineSettings.fast(region + "-" + i, region + "-a", "sheets", "sheet-1",
+					List.of(regions.address(region)))));
+		}
+		return started;
+	}
+
 	@Test
 	void shouldNeverSendARequestToARegionThatTheContractForbids() throws Exception {
 		int before = engine.runs().size();
--- a/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/policy/RequestPolicy.java
+++ b/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/policy/RequestPolicy.java
@@ -223,7 +223,7 @@
 		List<DequeuedTicket> result = this.dispatcher.pollReady(nowNanos);
 		for (DequeuedTicket ready : result) {
 			if (ready.refusal().isPresent()) {
-				end(ready.ticket(), 0);
+				release(ready.ticket(), 0);
 			}
 		}
 		return result;
@@ -336,10 +336,6 @@
 	 * of the request's counted tokens is returned to the token limit
 	 */
 	public void release(Ticket ticket, long usedTokens) {
-		end(ticket, usedTokens);
-	}
-
-	private void end(Ticket ticket, long usedTokens) {
 		if (ticket.stage() == Ticket.Stage.RELEASED) {
 			return;
 		}
@@ -354,7 +350,7 @@
 	 * Decides whether a request may be retried; if so, takes a retry from the budget.
 	 * @param request the request
 	 * @param verdict the combined verdict of all attempts so far
-	 * @param attempts the number of attempts so far
+	 * @param attempts the number of attempts so far, at all VMs
 	 * @param nowNanos the current monotonic time in nanoseconds
 	 * @return {@code true} if the request may be retried
 	 */
@@ -392,6 +388,10 @@
 		return this.dispatcher.summaries(this.region, this.dataCentre, nowNanos);
 	}
 
+	public RetryPolicy retries() {
+		return this.retries;
+	}
+
 	public CostAccount costs() {
 		return this.costs;
 	}
--- a/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/retry/RetryPolicy.java
+++ b/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/retry/RetryPolicy.java
@@ -19,6 +19,11 @@
 
 	private static final double HUNDRED_PERCENT = 100;
 
+	/**
+	 * The number of attempts that a VM leaves to the VM that forwarded a request to it.
+	 */
+	private static final int ATTEMPTS_LEFT_TO_SENDER = 1;
+
 	private final RetrySettings settings;
 
 	private final UniformRandomProvider random;
@@ -45,12 +50,13 @@
 	 * budget.
 	 * @param request the request
 	 * @param verdict the combined verdict of all attempts so far
-	 * @param attempts the number of attempts so far
+	 * @param attempts the number of attempts so far, at all VMs
 	 * @param nowNanos the current monotonic time in nanoseconds
 	 * @return {@code true} if the request may be retried
 	 */
 	public boolean tryAcquireRetry(PolicyRequest request, Verdict verdict, int attempts, long nowNanos) {
-		boolean retryable = verdict.permitsRepeat(request.repeat()) && attempts < this.settings.maxAttempts();
+		int maxAttempts = request.isForwarded() ? maxAttemptsWhenForwarded() : this.settings.maxAttempts();
+		boolean retryable = verdict.permitsRepeat(request.repeat()) && attempts < maxAttempts;
 		if (!retryable || request.deadlineNanos() - nowNanos <= this.settings.backoffNanos()) {
 			return false;
 		}
@@ -62,6 +68,21 @@
 		return true;
 	}
 
+	/**
+	 * Returns the number of attempts after a forwarded attempt that may have reached
+	 * targets. The receiving VM does not report its attempts, so that all that it was
+	 * allowed to make are counted.
+	 * @param attempts the number of attempts so far; a forwarded attempt counts as one
+	 * @return the number of attempts at all VMs
+	 */
+	public int attemptsAfterForward(int attempts) {
+		return Math.max(attempts, maxAttemptsWhenForwarded());
+	}
+
+	private int maxAttemptsWhenForwarded() {
+		return this.settings.maxAttempts() - ATTEMPTS_LEFT_TO_SENDER;
+	}
+
 	/**
 	 * Returns the back-off before the next attempt. The mean doubles with each attempt,
 	 * up to the maximum; the result is chosen at random between 0.5 and 1.5 times the
--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/forward/ForwardReceiver.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/forward/ForwardReceiver.java
@@ -91,7 +91,7 @@
 		Exchange exchange = new Exchange(request.requestId(), ReceivedRequestConverter.toCallerRequest(request, body),
 				traceSink, arrivedNanos);
 		traceSink.exchange(exchange);
-		exchange.markForwarded(forward::start);
+		exchange.markForwarded(forward::start, request.attempt() - 1);
 		exchange.setContractAndCaller(contract, caller);
 		this.active.add(exchange);
 		exchange.addListener(this.active::remove);
--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/pipeline/AttemptTracker.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/pipeline/AttemptTracker.java
@@ -18,8 +18,8 @@
  * Obtains placements for the attempts of one request from the policy and reports the
  * outcomes of the attempts to it.
  * <p>
- * No target is tried twice, and a request is forwarded at most once. Used on the VM's
- * event loop.
+ * No target is tried twice, a request is forwarded at most once, and the attempts of both
+ * VMs together stay within the policy's maximum. Used on the VM's event loop.
  */
 final class AttemptTracker {
 
@@ -33,6 +33,8 @@
 
 	private boolean forwardTried;
 
+	private boolean forwardMayHaveRun;
+
 	AttemptTracker(Exchange exchange, RequestPolicy policy, LongSupplier clockNanos) {
 		this.exchange = exchange;
 		this.policy = policy;
@@ -82,6 +84,11 @@
 		this.exchange.addUsedTokens(tokens);
 	}
 
+	void attemptFailed(Attempt attempt, AttemptOutcome outcome, Verdict verdict, int tokens) {
+		attemptFinished(attempt, outcome, tokens);
+		this.forwardMayHaveRun |= attempt.placement() instanceof Placement.Forward && verdict != Verdict.NOT_RUN;
+	}
+
 	/**
 	 * Returns how long to wait before the next attempt.
 	 * @param verdict the combined verdict of all attempts so far
@@ -91,7 +98,7 @@
 		if (!verdict.permitsRepeat(this.exchange.call().repeat())) {
 			return -1;
 		}
-		int attempts = this.exchange.attempts();
+		int attempts = attemptsAtAllVms();
 		if (!this.policy.tryAcquireRetry(policyRequest(), verdict, attempts, nowNanos())) {
 			return -1;
 		}
@@ -99,6 +106,11 @@
 		return (nowNanos() + delayNanos < this.exchange.deadlineNanos()) ? delayNanos : -1;
 	}
 
+	private int attemptsAtAllVms() {
+		int attempts = this.exchange.senderAttempts() + this.exchange.attempts();
+		return this.forwardMayHaveRun ? this.policy.retries().attemptsAfterForward(attempts) : attempts;
+	}
+
 	/**
 	 * Returns how long to wait for the first byte of an attempt's answer.
 	 * @return the timeout in nanoseconds; the time left until the deadline for calls that
--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/pipeline/DispatchRun.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/pipeline/DispatchRun.java
@@ -105,7 +105,7 @@
 	void attemptFailed(AttemptRun run, AttemptOutcome outcome, Verdict attemptVerdict, String detail) {
 		this.currentAttempt = null;
 		this.relaySelector.reset();
-		this.tracker.attemptFinished(run.attempt(), outcome, run.relayedTokens());
+		this.tracker.attemptFailed(run.attempt(), outcome, attemptVerdict, run.relayedTokens());
 		this.verdict = this.verdict.and(attemptVerdict);
 		logger.debugf("Dispatch: attempt %d of request %s failed with verdict %s: %s.", this.exchange.attempts(),
 				this.exchange.id(), attemptVerdict, detail);
--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/pipeline/Exchange.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/pipeline/Exchange.java
@@ -63,6 +63,8 @@
 
 	private BooleanSupplier startPermission;
 
+	private int senderAttempts;
+
 	private int initialEventOffset;
 
 	private boolean sentToOtherRegion;
@@ -101,11 +103,6 @@
 		return this.caller;
 	}
 
-	/**
-	 * Sets the authenticated caller and its contract.
-	 * @param contract the contract
-	 * @param caller the caller
-	 */
 	public void setContractAndCaller(Contract contract, Caller caller) {
 		this.contract = contract;
 		this.caller = caller;
@@ -115,10 +112,6 @@
 		return this.call;
 	}
 
-	/**
-	 * Sets the service call to which the request maps.
-	 * @param call the call
-	 */
 	public void setCall(Call call) {
 		this.call = call;
 	}
@@ -199,9 +192,15 @@
 	 * Marks the request as forwarded by another VM.
 	 * @param startPermission asked before any byte is sent to a target; returns whether
 	 * the request may still run
+	 * @param senderAttempts the number of attempts that the other VM made before
 	 */
-	public void markForwarded(BooleanSupplier startPermission) {
+	public void markForwarded(BooleanSupplier startPermission, int senderAttempts) {
 		this.startPermission = startPermission;
+		this.senderAttempts = senderAttempts;
+	}
+
+	int senderAttempts() {
+		return this.senderAttempts;
 	}
 
 	/**
