Add a forwarded request to the retry budget of one VM only

What callers saw: nothing directly. While targets of a contract fail, the VMs together could grant retries for up to a fifth of the forwarded requests; docs/design/policy.md allows a tenth, besides each VM's burst.

Cause: a request added to its service's retry budget when it arrived at a VM: at the VM that the caller asked, and again at the VM to which it was forwarded.

Evidence: RequestPolicyTests.shouldAddForwardedRequestToRetryBudgetOfOneVmOnly, 1,000 forwarded requests, half of them after an attempt at home. After: within the bound.

A request now adds to the budget of the VM that first sends it to a target; a forwarded request carries the number of attempts before it. So a VM that answers for another region has the allowance of the requests that it serves, and the VM that only passed them on has none for them. A request that is refused or leaves its queue no longer adds to a budget.

RetryPolicy's comment stated the bound without saying for how many VMs; it now says what holds over all VMs and starts, as the design page does.

--- a/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/policy/RequestPolicy.java
+++ b/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/policy/RequestPolicy.java
@@ -187,7 +187,6 @@
 			}
 			this.forwarding.requestArrived(request);
 		}
-		this.retries.requestArrived(request);
 		Admission admission = this.dispatcher.admitOrQueue(new Ticket(request, nowNanos), nowNanos);
 		if (admission instanceof Admission.Refused && !request.isForwarded()) {
 			this.limiters.release(request, request.countedTokens());
@@ -216,8 +215,7 @@
 	 * each end of an attempt, each target announcement and each peer report, and every 10
 	 * ms while requests are queued.
 	 * @param nowNanos the current monotonic time in nanoseconds
-	 * @return the tickets to place and the tickets whose requests are refused; the latter
-	 * are already released
+	 * @return the tickets to place, and those refused, which are already released
 	 */
 	public List<DequeuedTicket> pollReady(long nowNanos) {
 		List<DequeuedTicket> result = this.dispatcher.pollReady(nowNanos);
@@ -278,6 +276,9 @@
 		if (placement instanceof Placement.Local) {
 			this.selector.recordDispatch(attempt, nowNanos);
 		}
+		if (ticket.markAttempted() && placement instanceof Placement.Local) {
+			this.retries.requestDispatched(ticket.request());
+		}
 		if (placement instanceof Placement.Forward forward) {
 			double tokens = this.selector.meanAnswerTokens(ticket.request().pool());
 			long micros = this.forwarding.requestForwarded(ticket.request(), forward.dataCentre(), tokens, nowNanos);
@@ -350,7 +351,7 @@
 	 * Decides whether a request may be retried; if so, takes a retry from the budget.
 	 * @param request the request
 	 * @param verdict the combined verdict of all attempts so far
-	 * @param attempts the number of attempts so far, at all VMs
+	 * @param attempts the number of attempts so far, without the sender's
 	 * @param nowNanos the current monotonic time in nanoseconds
 	 * @return {@code true} if the request may be retried
 	 */
--- a/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/request/PolicyRequest.java
+++ b/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/request/PolicyRequest.java
@@ -48,6 +48,8 @@
 
 	private final boolean forwardedByOtherVm;
 
+	private final int senderAttempts;
+
 	private PolicyRequest(Builder builder) {
 		this.customer = builder.customer;
 		this.service = builder.service;
@@ -64,6 +66,7 @@
 		this.objective = builder.objective;
 		this.allowedRegions = Set.copyOf(builder.allowedRegions);
 		this.forwardedByOtherVm = builder.forwarded;
+		this.senderAttempts = builder.senderAttempts;
 	}
 
 	/**
@@ -174,6 +177,15 @@
 		return this.forwardedByOtherVm;
 	}
 
+	/**
+	 * Returns the number of attempts that another VM made before it forwarded the request
+	 * to this VM.
+	 * @return the number of attempts, 0 if the request was not forwarded
+	 */
+	public int senderAttempts() {
+		return this.senderAttempts;
+	}
+
 	/**
 	 * Returns the number of tokens that count against the contract's limit.
 	 * @return the prompt tokens plus the maximum number of answer tokens
@@ -215,6 +227,8 @@
 
 		private boolean forwarded;
 
+		private int senderAttempts;
+
 		private Builder(CustomerId customer, ContractService service) {
 			this.customer = customer;
 			this.service = service;
@@ -280,6 +294,11 @@
 			return this;
 		}
 
+		public Builder senderAttempts(int senderAttempts) {
+			this.senderAttempts = senderAttempts;
+			return this;
+		}
+
 		public PolicyRequest build() {
 			return new PolicyRequest(this);
 		}
--- a/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/request/Ticket.java
+++ b/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/request/Ticket.java
@@ -14,6 +14,8 @@
 
 	private Stage stage = Stage.QUEUED;
 
+	private boolean attempted;
+
 	public Ticket(PolicyRequest request, long arrivedNanos) {
 		this.request = request;
 		this.arrivedNanos = arrivedNanos;
@@ -39,6 +41,16 @@
 		this.stage = stage;
 	}
 
+	/**
+	 * Records an attempt of the request at this VM.
+	 * @return whether it is the first
+	 */
+	public boolean markAttempted() {
+		boolean first = !this.attempted;
+		this.attempted = true;
+		return first;
+	}
+
 	/**
 	 * The stages in the life of a ticket.
 	 */
--- a/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/retry/RetryPolicy.java
+++ b/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/retry/RetryPolicy.java
@@ -12,8 +12,11 @@
 /**
  * Decides whether a failed request is retried, and after which back-off.
  * <p>
- * The retries of a customer's service never exceed the budgeted percentage of its
- * requests plus the burst. Not thread safe: confined to the VM's event loop.
+ * Since this VM started, the retries of a customer's service never exceed the budgeted
+ * percentage of the requests that this VM was the first to send to a target, plus the
+ * burst. Over all VMs, each request counts at most once, and the burst once for each
+ * start of a VM and each removal of the customer. Not thread safe: confined to the VM's
+ * event loop.
  */
 public final class RetryPolicy {
 
@@ -36,10 +39,15 @@
 	}
 
 	/**
-	 * Adds the retry allowance of a new request to its service's budget.
+	 * Adds the retry allowance of a request to its service's budget when this VM first
+	 * sends it to a target. Has no effect if the request was forwarded by a VM that made
+	 * attempts before.
 	 * @param request the request
 	 */
-	public void requestArrived(PolicyRequest request) {
+	public void requestDispatched(PolicyRequest request) {
+		if (request.senderAttempts() > 0) {
+			return;
+		}
 		Budget budget = budget(request);
 		budget.retries = Math.min(this.settings.burst(),
 				budget.retries + this.settings.budgetPercent() / HUNDRED_PERCENT);
@@ -50,13 +58,14 @@
 	 * budget.
 	 * @param request the request
 	 * @param verdict the combined verdict of all attempts so far
-	 * @param attempts the number of attempts so far, at all VMs
+	 * @param attempts the number of attempts so far, without the sender's
 	 * @param nowNanos the current monotonic time in nanoseconds
 	 * @return {@code true} if the request may be retried
 	 */
 	public boolean tryAcquireRetry(PolicyRequest request, Verdict verdict, int attempts, long nowNanos) {
 		int maxAttempts = request.isForwarded() ? maxAttemptsWhenForwarded() : this.settings.maxAttempts();
-		boolean retryable = verdict.permitsRepeat(request.repeat()) && attempts < maxAttempts;
+		boolean retryable = verdict.permitsRepeat(request.repeat())
+				&& request.senderAttempts() + attempts < maxAttempts;
 		if (!retryable || request.deadlineNanos() - nowNanos <= this.settings.backoffNanos()) {
 			return false;
 		}
--- a/vanillatrestle-core/src/test/java/org/vanillatrestle/internal/policy/RequestPolicyTests.java
+++ b/vanillatrestle-core/src/test/java/org/vanillatrestle/internal/policy/RequestPolicyTests.java
@@ -11,6 +11,7 @@
 import net.jqwik.api.constraints.IntRange;
 import org.junit.jupiter.api.Test;
 import org.vanillatrestle.CustomerId;
+import org.vanillatrestle.DataCentreId;
 import org.vanillatrestle.RegionId;
 import org.vanillatrestle.Repeat;
 import org.vanillatrestle.TargetId;
@@ -181,6 +182,30 @@
 		assertThat(retries).isEqualTo(this.retryBurst());
 	}
 
+	@Test
+	void shouldAddForwardedRequestToRetryBudgetOfOneVmOnly() {
+		PolicyFixture receiver = new PolicyFixture();
+		receiver.announce("engine-1", 8, 1, false, 0);
+		this.fixture.announce("engine-2", 8, 1, false, 0);
+		PolicyRequest request = this.fixture.request();
+		Placement forward = new Placement.Forward(new RegionId("bagmati"), new DataCentreId("bagmati-1"));
+		Placement local = this.policy.choosePlacement(request, Set.of(), false, 0);
+		int retries = 0;
+		for (int i = 0; i < 1_000; i++) {
+			PolicyRequest forwarded = receiver.request(PolicyFixture.CUSTOMER)
+				.forwarded(true)
+				.senderAttempts(i % 2)
+				.build();
+			send(this.policy, request, i, (i % 2 == 0) ? List.of(forward) : List.of(local, forward));
+			send(receiver.policy, forwarded, i,
+					List.of(receiver.policy.choosePlacement(forwarded, Set.of(), false, i)));
+			retries += this.policy.tryAcquireRetry(request, Verdict.NOT_RUN, 1, i) ? 1 : 0;
+			retries += receiver.policy.tryAcquireRetry(forwarded, Verdict.NOT_RUN, 1, i) ? 1 : 0;
+		}
+
+		assertThat(retries).isBetween(100, 100 + 2 * retryBurst());
+	}
+
 	@Test
 	void shouldRetryRequestThatMayHaveRunOnlyIfIdempotent() {
 		PolicyRequest atMostOnce = this.fixture.request(PolicyFixture.CUSTOMER).repeat(Repeat.AT_MOST_ONCE).build();
@@ -252,6 +277,15 @@
 		return this.policy.attemptStarted(ticket, placement, nowNanos);
 	}
 
+	private static void send(RequestPolicy policy, PolicyRequest request, long nowNanos, List<Placement> placements) {
+		Ticket ticket = ((Admission.Admitted) policy.admit(request, nowNanos)).ticket();
+		for (Placement placement : placements) {
+			Attempt attempt = policy.attemptStarted(ticket, placement, nowNanos);
+			policy.attemptFinished(attempt, AttemptOutcome.COMPLETED, 0, nowNanos);
+		}
+		policy.release(ticket, 0);
+	}
+
 	private static String targetOf(Placement placement) {
 		return ((Placement.Local) placement).target().target().value();
 	}
--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/pipeline/AttemptTracker.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/pipeline/AttemptTracker.java
@@ -98,7 +98,10 @@
 		if (!verdict.permitsRepeat(this.exchange.call().repeat())) {
 			return -1;
 		}
-		int attempts = attemptsAtAllVms();
+		int attempts = this.exchange.attempts();
+		if (this.forwardMayHaveRun) {
+			attempts = this.policy.retries().attemptsAfterForward(attempts);
+		}
 		if (!this.policy.tryAcquireRetry(policyRequest(), verdict, attempts, nowNanos())) {
 			return -1;
 		}
@@ -106,11 +109,6 @@
 		return (nowNanos() + delayNanos < this.exchange.deadlineNanos()) ? delayNanos : -1;
 	}
 
-	private int attemptsAtAllVms() {
-		int attempts = this.exchange.senderAttempts() + this.exchange.attempts();
-		return this.forwardMayHaveRun ? this.policy.retries().attemptsAfterForward(attempts) : attempts;
-	}
-
 	/**
 	 * Returns how long to wait for the first byte of an attempt's answer.
 	 * @return the timeout in nanoseconds; the time left until the deadline for calls that
--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/pipeline/PolicyRequestFactory.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/pipeline/PolicyRequestFactory.java
@@ -28,6 +28,7 @@
 			.objective(exchange.contract().objective())
 			.allowedRegions(exchange.contract().allowedRegions())
 			.forwarded(exchange.isForwarded())
+			.senderAttempts(exchange.senderAttempts())
 			.build();
 	}
 
