--- a/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/retry/RetryPolicy.java
+++ b/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/retry/RetryPolicy.java
@@ -12,13 +12,21 @@
 /**
  * Decides whether a failed request is retried, and after which back-off.
  * <p>
- * The retries of a customer's service never exceed the budgeted percentage of its
- * requests plus the burst. Not thread safe: confined to the VM's event loop.
+ * Since this VM started, the retries of a customer's service never exceed the budgeted
+ * percentage of the requests that this VM was the first to send to a target, plus the
+ * burst. Over all VMs, each request counts at most once, and the burst once for each
+ * start of a VM and each removal of the customer. Not thread safe: confined to the VM's
+ * event loop.
  */
 public final class RetryPolicy {
 
 	private static final double HUNDRED_PERCENT = 100;
 
+	/**
+	 * The number of attempts that a VM leaves to the VM that forwarded a request to it.
+	 */
+	private static final int ATTEMPTS_LEFT_TO_SENDER = 1;
+
 	private final RetrySettings settings;
 
 	private final UniformRandomProvider random;
@@ -31,10 +39,15 @@
 	}
 
 	/**
-	 * Adds the retry allowance of a new request to its service's budget.
+	 * Adds the retry allowance of a request to its service's budget when this VM first
+	 * sends it to a target. Has no effect if the request was forwarded by a VM that made
+	 * attempts before.
 	 * @param request the request
 	 */
-	public void requestArrived(PolicyRequest request) {
+	public void requestDispatched(PolicyRequest request) {
+		if (request.senderAttempts() > 0) {
+			return;
+		}
 		Budget budget = budget(request);
 		budget.retries = Math.min(this.settings.burst(),
 				budget.retries + this.settings.budgetPercent() / HUNDRED_PERCENT);
@@ -45,12 +58,14 @@
 	 * budget.
 	 * @param request the request
 	 * @param verdict the combined verdict of all attempts so far
-	 * @param attempts the number of attempts so far
+	 * @param attempts the number of attempts so far, without the sender's
 	 * @param nowNanos the current monotonic time in nanoseconds
 	 * @return {@code true} if the request may be retried
 	 */
 	public boolean tryAcquireRetry(PolicyRequest request, Verdict verdict, int attempts, long nowNanos) {
-		boolean retryable = verdict.permitsRepeat(request.repeat()) && attempts < this.settings.maxAttempts();
+		int maxAttempts = request.isForwarded() ? maxAttemptsWhenForwarded() : this.settings.maxAttempts();
+		boolean retryable = verdict.permitsRepeat(request.repeat())
+				&& request.senderAttempts() + attempts < maxAttempts;
 		if (!retryable || request.deadlineNanos() - nowNanos <= this.settings.backoffNanos()) {
 			return false;
 		}
@@ -62,6 +77,21 @@
 		return true;
 	}
 
+	/**
+	 * Returns the number of attempts after a forwarded attempt that may have reached
+	 * targets. The receiving VM does not report its attempts, so that all that it was
+	 * allowed to make are counted.
+	 * @param attempts the number of attempts so far; a forwarded attempt counts as one
+	 * @return the number of attempts at all VMs
+	 */
+	public int attemptsAfterForward(int attempts) {
+		return Math.max(attempts, maxAttemptsWhenForwarded());
+	}
+
+	private int maxAttemptsWhenForwarded() {
+		return this.settings.maxAttempts() - ATTEMPTS_LEFT_TO_SENDER;
+	}
+
 	/**
 	 * Returns the back-off before the next attempt. The mean doubles with each attempt,
 	 * up to the maximum; the result is chosen at random between 0.5 and 1.5 times the
