Delete covered segments so that a loss of power leaves no gap among them

With another VM's disk lost at the same time only one of three replicas is left, and what was acknowledged can't be read back.

Cause: LogStorage deletes all covered segments and syncs the folder once. Until then each deletion is kept or lost independently of the others, so that an older segment may be back while a later one is gone, which recovery takes for damage.

Evidence: shouldRecoverWhatWasSyncedWhenPowerLossKeepsSomeUnsyncedNames stops the storage at every operation of the disk and keeps an arbitrary part of the unsynced names and bytes, 50 times each. Before: StorageException "segment- is missing". After: it passes.

The folder is now synced before each further deletion, so that the remaining segments are consecutive whatever is lost. The usual case, one covered segment, costs no further sync. The disk of the tests so far kept either all unsynced names or none.

--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/storage/Segments.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/storage/Segments.java
@@ -112,18 +112,24 @@
 
 	/**
 	 * Deletes the oldest segments whose entries are all covered by a snapshot. Never
-	 * deletes the last segment.
+	 * deletes the last segment. Each deletion is durable before the next one, since a
+	 * loss of power must not leave a gap; the last deletion remains to be synced.
 	 * @param snapshotIndex the last index in the snapshot
 	 * @param allExceptLast whether to delete every segment except the last one, even if
 	 * the snapshot does not cover it
 	 * @throws IOException if a segment can't be deleted
 	 */
 	void deleteCovered(long snapshotIndex, boolean allExceptLast) throws IOException {
+		boolean deletionUnsynced = false;
 		while (this.lastIndexByNumber.size() > 1) {
 			Map.Entry<Long, Long> oldest = this.lastIndexByNumber.firstEntry();
 			if (!allExceptLast && oldest.getValue() > snapshotIndex) {
 				return;
 			}
+			if (deletionUnsynced) {
+				this.files.syncFolder();
+			}
+			deletionUnsynced = true;
 			this.files.delete(nameOf(oldest.getKey()));
 			this.lastIndexByNumber.remove(oldest.getKey());
 		}
--- a/vanillatrestle-daemon/src/test/java/org/vanillatrestle/daemon/internal/storage/FakeStorageFiles.java
+++ b/vanillatrestle-daemon/src/test/java/org/vanillatrestle/daemon/internal/storage/FakeStorageFiles.java
@@ -4,6 +4,7 @@
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.util.Arrays;
+import java.util.Random;
 import java.util.SortedSet;
 import java.util.TreeMap;
 import java.util.TreeSet;
@@ -51,6 +52,26 @@
 		boolean keepNames = kept == 1;
 		TreeMap<String, Content> names = new TreeMap<>(keepNames ? this.visible : this.durable);
 		names.values().forEach((content) -> content.crash(kept, damaged));
+		restart(names);
+	}
+
+	/**
+	 * Simulates a loss of power: each unsynced name, and the unsynced bytes of each file,
+	 * are kept or lost independently of the others.
+	 */
+	public void losePower(Random random) {
+		TreeMap<String, Content> names = new TreeMap<>(this.durable);
+		names.keySet().removeIf((name) -> !this.visible.containsKey(name) && random.nextBoolean());
+		this.visible.forEach((name, content) -> {
+			if (random.nextBoolean()) {
+				names.put(name, content);
+			}
+		});
+		names.values().forEach((content) -> content.crash(random.nextInt(3) / 2.0, random.nextBoolean()));
+		restart(names);
+	}
+
+	private void restart(TreeMap<String, Content> names) {
 		this.visible.clear();
 		this.visible.putAll(names);
 		this.durable = new TreeMap<>(names);
--- a/vanillatrestle-daemon/src/test/java/org/vanillatrestle/daemon/internal/storage/LogStorageTests.java
+++ b/vanillatrestle-daemon/src/test/java/org/vanillatrestle/daemon/internal/storage/LogStorageTests.java
@@ -5,6 +5,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.Random;
 import java.util.TreeMap;
 
 import org.assertj.core.api.ThrowableAssert.ThrowingCallable;
@@ -30,30 +31,56 @@
 	@ParameterizedTest
 	@CsvSource({ "0, false", "0.3, false", "0.7, true", "1, false", "1, true" })
 	void shouldRecoverWhatWasSyncedAfterCrashAtEveryOperation(double kept, boolean damaged) throws IOException {
-		FakeStorageFiles counting = new FakeStorageFiles();
-		writeBatches(counting, new ExpectedState());
-		int operations = counting.operationCount();
-		assertThat(operations).isGreaterThan(60);
-		for (int operation = 1; operation <= operations; operation++) {
-			FakeStorageFiles files = new FakeStorageFiles();
-			files.failFromOperation(operation);
+		for (int operation = 1; operation <= countOperations(); operation++) {
 			ExpectedState model = new ExpectedState();
-			writeBatches(files, model);
-			assertThat(files.hasFailed()).isTrue();
+			FakeStorageFiles files = stopAt(operation, model);
 			files.crash(kept, damaged);
-			LogStorage reopened = LogStorage.open(files, VM, OpenMode.JOIN_IF_EMPTY);
-			model.assertMatches(reopened.recovered(), operation);
-			RecoveredState first = reopened.recovered();
-			long nextIndex = Math.max(first.snapshot().lastIndex(), lastIndex(first)) + 1;
-			reopened.write(List.of(append(nextIndex, 50, 1)));
-			reopened.sync();
-			files.crash(0, false);
-			RecoveredState second = LogStorage.open(files, VM, OpenMode.MUST_EXIST).recovered();
-			assertThat(lastIndex(second)).as("after operation %s", operation).isEqualTo(nextIndex);
-			assertThat(second.entries()).hasSize(first.entries().size() + 1);
+			checkRecoveryAndAppend(files, model, operation);
 		}
 	}
 
+	@Test
+	void shouldRecoverWhatWasSyncedWhenPowerLossKeepsSomeUnsyncedNames() throws IOException {
+		Random random = new Random(1);
+		for (int operation = 1; operation <= countOperations(); operation++) {
+			for (int repetition = 0; repetition < 50; repetition++) {
+				ExpectedState model = new ExpectedState();
+				FakeStorageFiles files = stopAt(operation, model);
+				files.losePower(random);
+				checkRecoveryAndAppend(files, model, operation);
+			}
+		}
+	}
+
+	private static int countOperations() {
+		FakeStorageFiles files = new FakeStorageFiles();
+		writeBatches(files, new ExpectedState());
+		assertThat(files.operationCount()).isGreaterThan(60);
+		return files.operationCount();
+	}
+
+	private static FakeStorageFiles stopAt(int operation, ExpectedState model) {
+		FakeStorageFiles files = new FakeStorageFiles();
+		files.failFromOperation(operation);
+		writeBatches(files, model);
+		assertThat(files.hasFailed()).isTrue();
+		return files;
+	}
+
+	private static void checkRecoveryAndAppend(FakeStorageFiles files, ExpectedState model, int operation)
+			throws IOException {
+		LogStorage reopened = LogStorage.open(files, VM, OpenMode.JOIN_IF_EMPTY);
+		model.assertMatches(reopened.recovered(), operation);
+		RecoveredState first = reopened.recovered();
+		long nextIndex = Math.max(first.snapshot().lastIndex(), lastIndex(first)) + 1;
+		reopened.write(List.of(append(nextIndex, 50, 1)));
+		reopened.sync();
+		files.crash(0, false);
+		RecoveredState second = LogStorage.open(files, VM, OpenMode.MUST_EXIST).recovered();
+		assertThat(lastIndex(second)).as("after operation %s", operation).isEqualTo(nextIndex);
+		assertThat(second.entries()).hasSize(first.entries().size() + 1);
+	}
+
 	private static void writeBatches(FakeStorageFiles files, ExpectedState model) {
 		try (LogStorage storage = LogStorage.open(files, VM, OpenMode.CREATE_GROUP)) {
 			for (List<DiskWrite> batch : batches()) {
