Sync what a killed process left before a replica acknowledges it

Callers saw: a change acknowledged after a process was killed could be gone after the next loss of power, or the replica refused its folder ("segment-... is damaged at its end") or came back as a new one without what it had.

Cause: a process that is killed between a write and its sync leaves the bytes and names in the files. The next process took all that it read for durable.

Evidence: shouldKeepWhatWasRecoveredAfterKillWhenPowerIsLost kills the process at every operation of the disk, opens the folder and takes the power.

The first sync after opening now covers the last two segments, which are all that such a process can have left unsynced, and the names of the folder. A replica runs it on its own thread before it handles a message, so that a slow disk doesn't hold up the start.

--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/replica/ReplicaHost.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/replica/ReplicaHost.java
@@ -267,10 +267,12 @@
 
 	private void run() {
 		try (this.storage) {
-			long tickNanos = this.settings.log().heartbeatIntervalNanos() / 2;
+			processOutputs();
+			// The log acknowledges what was recovered without writing it again.
+			writeAndSync(this.log.takeOutputs());
 			runOnce(0);
 			while (!canStop()) {
-				runOnce(tickNanos);
+				runOnce(this.settings.log().heartbeatIntervalNanos() / 2);
 			}
 		}
 		catch (IOException ex) {
@@ -296,8 +298,8 @@
 			this.closeStartNanos = nowNanos();
 			return !this.log.handOver(nowNanos());
 		}
-		boolean handedOver = this.log.status(nowNanos()).role() != Role.LEADER;
-		return handedOver || nowNanos() - this.closeStartNanos > HANDOVER_TIMEOUT_NANOS;
+		return this.log.status(nowNanos()).role() != Role.LEADER
+				|| nowNanos() - this.closeStartNanos > HANDOVER_TIMEOUT_NANOS;
 	}
 
 	private void runOnce(long waitNanos) throws InterruptedException {
@@ -359,10 +361,8 @@
 	}
 
 	private void apply(LogEntry entry) {
-		byte[] reply = new byte[0];
-		if (entry.body() instanceof EntryBody.Command command) {
-			reply = this.machine.apply(entry.index(), command.bytes());
-		}
+		byte[] reply = (entry.body() instanceof EntryBody.Command command)
+				? this.machine.apply(entry.index(), command.bytes()) : new byte[0];
 		this.proposals.completeApplied(entry, reply);
 	}
 
--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/storage/LogStorage.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/storage/LogStorage.java
@@ -16,9 +16,9 @@
 /**
  * Stores the replicated log of one replica on disk and applies its writes in order.
  * <p>
- * Writes that precede a successful {@link #sync()} survive any crash. After a failed
- * write or sync, all further writes and syncs are rejected because the contents of the
- * disk are unknown. Not thread safe.
+ * Writes that precede a successful {@link #sync()}, and the recovered state, survive any
+ * crash after it. After a failed write or sync, all further writes and syncs are rejected
+ * because the contents of the disk are unknown. Not thread safe.
  */
 public final class LogStorage implements Closeable {
 
@@ -75,7 +75,8 @@
 	}
 
 	/**
-	 * Returns the state that was on disk when the folder was opened.
+	 * Returns the state that was found when the folder was opened. It may be lost with
+	 * the power until the first successful {@link #sync()}.
 	 * @return the state from which the replica starts
 	 */
 	public RecoveredState recovered() {
@@ -104,7 +105,7 @@
 	}
 
 	/**
-	 * Blocks until all writes are durable.
+	 * Blocks until all writes and the recovered state are durable.
 	 * @throws IOException if the writes may not be durable; all further writes and syncs
 	 * are rejected
 	 */
--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/storage/Segments.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/storage/Segments.java
@@ -2,6 +2,8 @@
 
 import java.io.Closeable;
 import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
 
@@ -19,12 +21,20 @@
 
 	private static final String PREFIX = "segment-";
 
+	/**
+	 * The number of segments that a killed process may have left unsynced: the last one,
+	 * and the one before it with the record that closes it.
+	 */
+	private static final int MAX_UNSYNCED_SEGMENTS = 2;
+
 	private final StorageFiles files;
 
 	private final String storage;
 
 	private final TreeMap<Long, Long> lastIndexByNumber = new TreeMap<>();
 
+	private final List<String> recoveredUnsynced = new ArrayList<>();
+
 	private SegmentWriter writer;
 
 	private Segments(StorageFiles files, String storage) {
@@ -67,6 +77,10 @@
 			throws IOException {
 		Segments segments = new Segments(files, storage);
 		segments.lastIndexByNumber.putAll(lastIndexes);
+		segments.lastIndexByNumber.descendingKeySet()
+			.stream()
+			.limit(MAX_UNSYNCED_SEGMENTS)
+			.forEach((number) -> segments.recoveredUnsynced.add(nameOf(number)));
 		segments.writer = new SegmentWriter(files.openForAppend(nameOf(segments.lastIndexByNumber.lastKey())),
 				sizeBytes);
 		return segments;
@@ -106,10 +120,30 @@
 		this.lastIndexByNumber.merge(this.lastIndexByNumber.lastKey(), entry.index(), Math::max);
 	}
 
+	/**
+	 * Blocks until all records are durable. The first call after the folder was opened
+	 * also syncs what was recovered, because a killed process may have written it without
+	 * a sync.
+	 * @throws IOException if the records may not be durable
+	 */
 	void sync() throws IOException {
+		syncRecovered();
 		this.writer.sync();
 	}
 
+	private void syncRecovered() throws IOException {
+		if (this.recoveredUnsynced.isEmpty()) {
+			return;
+		}
+		for (String name : this.recoveredUnsynced) {
+			try (AppendableFile file = this.files.openForAppend(name)) {
+				file.sync();
+			}
+		}
+		this.files.syncFolder();
+		this.recoveredUnsynced.clear();
+	}
+
 	/**
 	 * Deletes the oldest segments whose entries are all covered by a snapshot. Never
 	 * deletes the last segment. Each deletion is durable before the next one, since a
--- a/vanillatrestle-daemon/src/test/java/org/vanillatrestle/daemon/internal/replica/ReplicaHostTests.java
+++ b/vanillatrestle-daemon/src/test/java/org/vanillatrestle/daemon/internal/replica/ReplicaHostTests.java
@@ -26,6 +26,9 @@
 import org.vanillatrestle.daemon.internal.storage.LogStorage;
 import org.vanillatrestle.daemon.internal.storage.OpenMode;
 import org.vanillatrestle.daemon.internal.storage.StorageFiles;
+import org.vanillatrestle.internal.log.DiskWrite;
+import org.vanillatrestle.internal.log.EntryBody;
+import org.vanillatrestle.internal.log.LogEntry;
 import org.vanillatrestle.internal.log.LogEnvelope;
 import org.vanillatrestle.internal.log.LogMessage;
 import org.vanillatrestle.internal.log.LogSettings;
@@ -35,6 +38,7 @@
 import org.vanillatrestle.wire.LogMessageCodec;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatExceptionOfType;
 
 class ReplicaHostTests {
 
@@ -113,6 +117,34 @@
 		}
 	}
 
+	@Test
+	void shouldNotAcknowledgeRecoveredEntryThatIsLostWithThePower() throws Exception {
+		FakeStorageFiles files = new FakeStorageFiles();
+		LogStorage killed = LogStorage.open(files, FIRST, OpenMode.CREATE_GROUP);
+		LogEntry entry = new LogEntry(1, 1, new EntryBody.Command(bytes("c")));
+		killed.write(List.of(new DiskWrite.AppendEntries(List.of(entry))));
+		files.failFromOperation(2);
+		assertThatExceptionOfType(IOException.class).isThrownBy(killed::sync);
+		files.failFromOperation(Integer.MAX_VALUE);
+		LogStorage storage = LogStorage.open(files, FIRST, OpenMode.MUST_EXIST);
+		assertThat(storage.recovered().entries()).hasSize(1);
+		CompletableFuture<byte[]> acknowledgement = new CompletableFuture<>();
+		ReplicaHost host = new ReplicaHost("Test", storage, new RecordingStateMachine(), (to, message) -> {
+			files.crash(0, false);
+			acknowledgement.complete(message);
+		}, ReplicaSettings.of(VMS));
+		this.hosts.put(FIRST, host);
+		ReplicaId leader = new ReplicaId(new VmId("vm-2"), new StorageId("s"));
+		LogMessage heartbeat = new LogMessage.AppendRequest(1, 1, 1, List.of(), 0, 0);
+		host.receive(leader.vm(), LogMessageCodec
+			.encode(new LogEnvelope(host.status().membership().group(), leader, killed.replica(), heartbeat)));
+		host.start();
+		assertThat(LogMessageCodec.decode(acknowledgement.get(20, TimeUnit.SECONDS)).message())
+			.isEqualTo(new LogMessage.AppendResponse(1, true, 1, 0, 0));
+		stop(host);
+		assertThat(LogStorage.open(files, FIRST, OpenMode.MUST_EXIST).recovered().entries()).hasSize(1);
+	}
+
 	@Test
 	void shouldBatchPendingProposalsInOneSync() throws Exception {
 		FakeStorageFiles files = new FakeStorageFiles();
--- a/vanillatrestle-daemon/src/test/java/org/vanillatrestle/daemon/internal/storage/LogStorageTests.java
+++ b/vanillatrestle-daemon/src/test/java/org/vanillatrestle/daemon/internal/storage/LogStorageTests.java
@@ -52,6 +52,22 @@
 		}
 	}
 
+	@Test
+	void shouldKeepWhatWasRecoveredAfterKillWhenPowerIsLost() throws IOException {
+		for (int operation = 1; operation <= countOperations(); operation++) {
+			FakeStorageFiles files = stopAt(operation, new ExpectedState());
+			files.failFromOperation(Integer.MAX_VALUE);
+			LogStorage afterKill = LogStorage.open(files, VM, OpenMode.JOIN_IF_EMPTY);
+			afterKill.sync();
+			files.crash(0, false);
+			LogStorage afterPowerLoss = LogStorage.open(files, VM, OpenMode.MUST_EXIST);
+			assertThat(afterPowerLoss.replica()).isEqualTo(afterKill.replica());
+			assertThat(afterPowerLoss.recovered()).as("after operation %s", operation)
+				.usingRecursiveComparison()
+				.isEqualTo(afterKill.recovered());
+		}
+	}
+
 	private static int countOperations() {
 		FakeStorageFiles files = new FakeStorageFiles();
 		writeBatches(files, new ExpectedState());
