Test that acknowledged entries outlive a lost disk and a loss of power together

When disks are lost, all other VMs may lose power at the same moment, right after an acknowledgement that only two of three replicas had synced. The property stops a group of 3, 4 or 5 replicas with three voters at such an acknowledgement, takes one disk and the power of all others, starts them in any order, takes the power again before the lost replica is replaced, and does so three times on end.

--- a/vanillatrestle-core/src/test/java/org/vanillatrestle/internal/log/DesiredVoterCountTests.java
+++ b/vanillatrestle-core/src/test/java/org/vanillatrestle/internal/log/DesiredVoterCountTests.java
@@ -1,10 +1,13 @@
 package org.vanillatrestle.internal.log;
 
+import java.util.ArrayList;
+import java.util.Collections;
 import java.util.List;
 import java.util.Random;
 
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
+import net.jqwik.api.ShrinkingMode;
 import net.jqwik.api.constraints.IntRange;
 import org.junit.jupiter.api.Test;
 
@@ -112,6 +115,59 @@
 		assertThat(group.replicas()).allSatisfy((replica) -> assertThat(replica.appliedCommands()).isEqualTo(expected));
 	}
 
+	/**
+	 * At an acknowledgement that may have reached two replicas only, one replica loses
+	 * its disk and all others lose power; they start in any order, and again before the
+	 * lost replica is replaced.
+	 */
+	@Property(seed = "20261207", tries = 100, shrinking = ShrinkingMode.OFF)
+	void shouldKeepAcknowledgedEntriesWhenDiskAndPowerAreLostTogether(@ForAll long seed,
+			@ForAll @IntRange(min = 3, max = 5) int size) {
+		SimulatedGroup group = group(size);
+		Random random = new Random(seed);
+		for (int round = 0; round < 3; round++) {
+			if (random.nextBoolean()) {
+				group.isolate(followingVoter(group));
+			}
+			acknowledgeOne(group, random);
+			group.loseDisk(group.replica(random.nextInt(size)));
+			restartAll(group, random);
+			group.runFor(random.nextInt(1_000));
+			restartAll(group, random);
+			assertThat(group.runUntil(DesiredVoterCountTests::isComplete)).as("seed %s round %s", seed, round).isTrue();
+			assertThat(group.leader().orElseThrow().appliedCommands()).as("seed %s round %s", seed, round)
+				.isEqualTo(group.oracle().commandsUpTo(group.oracle().lastCommitted()));
+		}
+	}
+
+	private static void acknowledgeOne(SimulatedGroup group, Random random) {
+		int acknowledged = group.oracle().acknowledgedCount();
+		for (int step = 0; step < 20_000 && group.oracle().acknowledgedCount() == acknowledged; step++) {
+			SimulatedReplica replica = group.replica(random.nextInt(group.replicas().size()));
+			switch (random.nextInt(4)) {
+				case 0 -> group.processOutputs(replica);
+				case 1 -> group.sync(replica);
+				case 2 -> group.deliver(random.nextInt(3), false);
+				default -> group.advanceTime(random.nextInt(3));
+			}
+			if (step % 100 == 0) {
+				group.propose();
+			}
+		}
+		assertThat(group.oracle().acknowledgedCount()).isGreaterThan(acknowledged);
+	}
+
+	private static void restartAll(SimulatedGroup group, Random random) {
+		List<SimulatedReplica> order = new ArrayList<>(group.replicas());
+		order.forEach((replica) -> replica.crash(random.nextInt(4)));
+		group.reconnectAll();
+		Collections.shuffle(order, random);
+		for (SimulatedReplica replica : order) {
+			group.start(replica);
+			group.runFor(random.nextInt(400));
+		}
+	}
+
 	private static boolean isComplete(SimulatedGroup group) {
 		if (group.leader().isEmpty()) {
 			return false;
