Promote only learners that respond

Callers saw: with more control VMs than voters, the loss of one voter together with a learner stopped all changes and reads of the configuration. If the disks of both were lost, it never went on, and what was acknowledged could not be read back, though two of three voters held it.

Cause: a learner counted as caught up as long as nothing had been written since its last response, whether or not it still responded. When the voter had been silent for two election timeouts, the leader put the lost learner in its place. Of the four voters two were lost for good, and three are needed.

Evidence: shouldNotPromoteLearnerThatIsLostTogetherWithVoter. Before, the group of four with three voters had no leader a minute of simulated time after both VMs were back with empty disks ("expecting value to be true but was false"). After: it passes, as do the other tests of the log. Found by a property that takes the disks of a region of two VMs.

A learner must now have responded within an election timeout to be promoted. A learner lost together with the voter has been silent for two by the time the voter may be replaced.

--- a/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/log/MembershipChanges.java
+++ b/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/log/MembershipChanges.java
@@ -12,8 +12,8 @@
  * <p>
  * Changes run one at a time: the next one starts only when the previous one and an entry
  * of the leader's own term are committed. A replica joins as a learner and becomes a
- * voter only after it has caught up, and the former replica of a VM is removed before the
- * new one becomes a voter. Not thread safe.
+ * voter only after it has caught up and while it responds, and the former replica of a VM
+ * is removed before the new one becomes a voter. Not thread safe.
  */
 final class MembershipChanges {
 
@@ -108,8 +108,11 @@
 
 	private boolean isReadyForPromotion(ReplicaId learner) {
 		LogState shared = this.state;
-		return this.wantedVoters.contains(learner.vm()) && this.replication.progressOf(learner)
-			.isCaughtUp(shared.entries().lastIndex(), shared.nowNanos(), shared.settings().electionTimeoutNanos());
+		long timeoutNanos = shared.settings().electionTimeoutNanos();
+		Progress progress = this.replication.progressOf(learner);
+		boolean isResponsive = shared.nowNanos() - progress.lastResponseNanos() < timeoutNanos;
+		return this.wantedVoters.contains(learner.vm()) && isResponsive
+				&& progress.isCaughtUp(shared.entries().lastIndex(), shared.nowNanos(), timeoutNanos);
 	}
 
 	private boolean canPromote(Membership membership, ReplicaId learner) {
--- a/vanillatrestle-core/src/test/java/org/vanillatrestle/internal/log/DesiredVoterCountTests.java
+++ b/vanillatrestle-core/src/test/java/org/vanillatrestle/internal/log/DesiredVoterCountTests.java
@@ -65,6 +65,23 @@
 		assertThat(membership(group).isVoter(isolated.id())).isTrue();
 	}
 
+	@Test
+	void shouldNotPromoteLearnerThatIsLostTogetherWithVoter() {
+		SimulatedGroup group = group(4);
+		SimulatedReplica voter = followingVoter(group);
+		SimulatedReplica learner = group.replicas()
+			.stream()
+			.filter((replica) -> membership(group).isLearner(replica.id()))
+			.findFirst()
+			.orElseThrow();
+		group.loseDisk(voter);
+		group.loseDisk(learner);
+		group.runFor(2_000);
+		group.restartStopped();
+		assertThat(group.runUntil(DesiredVoterCountTests::isComplete)).isTrue();
+		group.commit(1);
+	}
+
 	@Test
 	void shouldElectLeaderWithinElectionTimeoutAfterAllRestart() {
 		SimulatedGroup group = group(3);
