Spread the voters of the declared state over regions and data centres

Cause: the leader made the first learners to ask its voters and put any learner in the place of a voter that was silent for two election timeouts, wherever the VMs were.

Evidence: shouldKeepAcknowledgedEntriesWhenDisksOfRegionAreLost takes the disks of one of three regions with two VMs each, or cuts the region off, three times on end, with a loss of all power each time.

The leader now knows the regions and data centres of the control VMs. It prefers the learner that spreads the voters best, exchanges a voter where that spreads them better, and replaces a voter by a learner beside another voter only after eight election timeouts, so that a short partition does not leave a majority in one region, but a voter that is gone for good is replaced. Groups without locations (contract book, ledger) behave as before.

--- a/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/log/MembershipChanges.java
+++ b/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/log/MembershipChanges.java
@@ -1,9 +1,11 @@
 package org.vanillatrestle.internal.log;
 
+import java.util.Comparator;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.TreeMap;
+import java.util.stream.Stream;
 
 import org.vanillatrestle.VmId;
 
@@ -25,10 +27,18 @@
 	 */
 	private static final int UNRESPONSIVE_VOTER_ELECTION_TIMEOUTS = 2;
 
+	/**
+	 * The number of election timeouts without a response after which a voter may be
+	 * replaced even if the voters are spread worse then. Longer than most partitions.
+	 */
+	private static final int LOST_VOTER_ELECTION_TIMEOUTS = 8;
+
 	private final LogState state;
 
 	private final Replication replication;
 
+	private final VoterSpread spread = new VoterSpread();
+
 	private final Map<ReplicaId, Long> joinRequestNanos = new TreeMap<>();
 
 	private Set<VmId> wantedVoters = Set.of();
@@ -44,9 +54,19 @@
 		this.wantedVoters = Set.copyOf(vms);
 	}
 
+	/**
+	 * Sets where VMs are. Once it is set, the leader prefers voters in different regions,
+	 * then in different data centres.
+	 * @param locations the locations by VM; other VMs count as being alone where they are
+	 */
+	void setLocations(Map<VmId, VmLocation> locations) {
+		this.spread.setLocations(locations);
+	}
+
 	/**
 	 * Sets the number of voters that the group should have. Once it is set, the leader
-	 * replaces an unresponsive voter with a learner that has caught up.
+	 * replaces an unresponsive voter with a learner that has caught up, later if the
+	 * voters would be spread worse, and any voter if they would be spread better.
 	 * @param count the number of voters
 	 */
 	void setDesiredVoterCount(int count) {
@@ -93,9 +113,13 @@
 			return;
 		}
 		Membership membership = this.state.membership();
-		Optional<ReplicaId> caughtUp = membership.learners().stream().filter(this::isReadyForPromotion).findFirst();
-		if (caughtUp.isPresent() && canPromote(membership, caughtUp.get())) {
-			promote(membership, caughtUp.get());
+		Optional<ReplicaId> promotable = membership.learners()
+			.stream()
+			.filter(this::isReadyForPromotion)
+			.filter((learner) -> canPromote(membership, learner))
+			.min(Comparator.comparingInt((learner) -> this.spread.crowding(membership.withVoter(learner))));
+		if (promotable.isPresent()) {
+			promote(membership, promotable.get());
 			return;
 		}
 		if (membership.voters().size() > this.desiredVoterCount && removeExcessVoter(membership)) {
@@ -117,27 +141,45 @@
 
 	private boolean canPromote(Membership membership, ReplicaId learner) {
 		return membership.voters().size() < this.desiredVoterCount || membership.voterOf(learner.vm()).isPresent()
-				|| (membership.voters().size() == this.desiredVoterCount && unresponsiveVoter(membership).isPresent());
+				|| (membership.voters().size() == this.desiredVoterCount && canReplaceVoter(membership, learner));
 	}
 
-	private Optional<ReplicaId> unresponsiveVoter(Membership membership) {
-		long limitNanos = UNRESPONSIVE_VOTER_ELECTION_TIMEOUTS * this.state.settings().electionTimeoutNanos();
-		long now = this.state.nowNanos();
-		return membership.voters()
-			.stream()
-			.filter((voter) -> !voter.equals(this.state.self()))
-			.filter((voter) -> now - this.replication.progressOf(voter).lastResponseNanos() > limitNanos)
-			.findFirst();
+	// With a learner beside another voter in place of a voter of a region that was only
+	// cut
+	// off, the loss of the next region might take a majority.
+	private boolean canReplaceVoter(Membership membership, ReplicaId learner) {
+		Membership promoted = membership.withVoter(learner);
+		int crowding = this.spread.crowding(membership);
+		return removableVoters(membership).anyMatch((voter) -> {
+			int changed = this.spread.crowding(promoted.without(voter));
+			return changed < crowding || isSilentFor(voter, LOST_VOTER_ELECTION_TIMEOUTS)
+					|| (changed == crowding && isUnresponsive(voter));
+		});
+	}
+
+	private Stream<ReplicaId> removableVoters(Membership membership) {
+		return membership.voters().stream().filter((voter) -> !voter.equals(this.state.self()));
+	}
+
+	private boolean isUnresponsive(ReplicaId voter) {
+		return isSilentFor(voter, UNRESPONSIVE_VOTER_ELECTION_TIMEOUTS);
+	}
+
+	private boolean isSilentFor(ReplicaId voter, int electionTimeouts) {
+		long limitNanos = electionTimeouts * this.state.settings().electionTimeoutNanos();
+		return this.state.nowNanos() - this.replication.progressOf(voter).lastResponseNanos() > limitNanos;
 	}
 
 	// An unresponsive voter that returns while a learner is being promoted in its place
 	// leaves one voter too many.
 	private boolean removeExcessVoter(Membership membership) {
-		Optional<ReplicaId> excess = unresponsiveVoter(membership).or(() -> membership.voters()
-			.stream()
-			.filter((voter) -> !voter.equals(this.state.self()))
-			.reduce((earlier, later) -> later));
-		return excess.map(this::remove).orElse(false);
+		return removableVoters(membership)
+			.min(Comparator.comparing((ReplicaId voter) -> !isSilentFor(voter, LOST_VOTER_ELECTION_TIMEOUTS))
+				.thenComparingInt((voter) -> this.spread.crowding(membership.without(voter)))
+				.thenComparing((voter) -> !isUnresponsive(voter))
+				.thenComparing(Comparator.reverseOrder()))
+			.map(this::remove)
+			.orElse(false);
 	}
 
 	private void promote(Membership membership, ReplicaId learner) {
--- a/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/log/ReplicatedLog.java
+++ b/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/log/ReplicatedLog.java
@@ -2,6 +2,7 @@
 
 import java.util.Collection;
 import java.util.Comparator;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 
@@ -78,6 +79,16 @@
 		this.membershipChanges.setWantedVoters(vms);
 	}
 
+	/**
+	 * Sets the VMs whose replicas may become voters, and where they are, so that the
+	 * voters are spread over regions and data centres.
+	 * @param vms the locations of the wanted VMs
+	 */
+	public void setWantedVoters(Map<VmId, VmLocation> vms) {
+		setWantedVoters(vms.keySet());
+		this.membershipChanges.setLocations(vms);
+	}
+
 	/**
 	 * Sets the number of voters that the group should have. The leader keeps additional
 	 * replicas as learners and replaces unresponsive voters with them. If no number is
--- a/vanillatrestle-core/src/test/java/org/vanillatrestle/internal/log/DesiredVoterCountTests.java
+++ b/vanillatrestle-core/src/test/java/org/vanillatrestle/internal/log/DesiredVoterCountTests.java
@@ -2,7 +2,9 @@
 
 import java.util.ArrayList;
 import java.util.Collections;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Random;
 
 import net.jqwik.api.ForAll;
@@ -10,6 +12,9 @@
 import net.jqwik.api.ShrinkingMode;
 import net.jqwik.api.constraints.IntRange;
 import org.junit.jupiter.api.Test;
+import org.vanillatrestle.DataCentreId;
+import org.vanillatrestle.RegionId;
+import org.vanillatrestle.VmId;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -157,6 +162,50 @@
 		}
 	}
 
+	@Test
+	void shouldReplaceVoterByLearnerBesideAnotherVoterOnlyAfterLongSilence() {
+		SimulatedGroup group = groupInThreeRegions(4);
+		assertThat(group.runUntil(DesiredVoterCountTests::isComplete)).isTrue();
+		group.runFor(1_000);
+		SimulatedReplica alone = group.replica((group.leader().orElseThrow() == group.replica(1)) ? 2 : 1);
+		group.isolate(alone);
+		group.runFor(5 * ELECTION_TIMEOUT_MILLIS);
+		assertThat(membership(group).isVoter(alone.id())).isTrue();
+		group.runFor(5 * ELECTION_TIMEOUT_MILLIS);
+		assertThat(membership(group).isVoter(alone.id())).isFalse();
+		assertThat(membership(group).voters()).hasSize(DESIRED_VOTERS);
+	}
+
+	/**
+	 * Two VMs a region: with two voters in one region, the loss of its disks took
+	 * acknowledged entries with it.
+	 */
+	@Property(seed = "20261208", tries = 60, shrinking = ShrinkingMode.OFF)
+	void shouldKeepAcknowledgedEntriesWhenDisksOfRegionAreLost(@ForAll long seed) {
+		SimulatedGroup group = groupInThreeRegions(6);
+		Random random = new Random(seed);
+		for (int round = 0; round < 3; round++) {
+			assertThat(group.runUntil(DesiredVoterCountTests::isComplete)).as("seed %s round %s", seed, round).isTrue();
+			group.runFor(1_000);
+			int region = random.nextInt(3);
+			boolean disksLost = random.nextBoolean();
+			group.commit(1);
+			for (SimulatedReplica replica : List.of(group.replica(region), group.replica(region + 3))) {
+				if (disksLost) {
+					group.loseDisk(replica);
+				}
+				else {
+					group.isolate(replica);
+				}
+			}
+			group.runFor(random.nextInt(3_000));
+			restartAll(group, random);
+		}
+		assertThat(group.runUntil(DesiredVoterCountTests::isComplete)).as("seed %s", seed).isTrue();
+		assertThat(group.leader().orElseThrow().appliedCommands())
+			.isEqualTo(group.oracle().commandsUpTo(group.oracle().lastCommitted()));
+	}
+
 	private static void acknowledgeOne(SimulatedGroup group, Random random) {
 		int acknowledged = group.oracle().acknowledgedCount();
 		for (int step = 0; step < 20_000 && group.oracle().acknowledgedCount() == acknowledged; step++) {
@@ -205,6 +254,18 @@
 		return group;
 	}
 
+	private static SimulatedGroup groupInThreeRegions(int size) {
+		SimulatedGroup group = new SimulatedGroup(size);
+		Map<VmId, VmLocation> locations = new HashMap<>();
+		for (int i = 0; i < size; i++) {
+			locations.put(group.replica(i).id().vm(),
+					new VmLocation(new RegionId("r" + i % 3), new DataCentreId("z" + i)));
+		}
+		group.replicas().forEach((replica) -> replica.setDesiredVoterCount(DESIRED_VOTERS));
+		group.replicas().forEach((replica) -> replica.setLocations(locations));
+		return group;
+	}
+
 	private static Membership membership(SimulatedGroup group) {
 		return group.status(group.leader().orElseThrow()).membership();
 	}
--- a/vanillatrestle-core/src/test/java/org/vanillatrestle/internal/log/SimulatedReplica.java
+++ b/vanillatrestle-core/src/test/java/org/vanillatrestle/internal/log/SimulatedReplica.java
@@ -43,6 +43,8 @@
 
 	private boolean syncFails;
 
+	private Map<VmId, VmLocation> locations = Map.of();
+
 	private int desiredVoterCount = Integer.MAX_VALUE;
 
 	SimulatedReplica(VmId vm, Membership membership, String storage, Set<VmId> wantedVoters, Oracle oracle,
@@ -62,6 +64,11 @@
 		}
 	}
 
+	void setLocations(Map<VmId, VmLocation> locations) {
+		this.locations = locations;
+		this.log.setWantedVoters(locations);
+	}
+
 	ReplicaId id() {
 		return this.id;
 	}
@@ -96,6 +103,9 @@
 				RandomSource.SPLIT_MIX_64.create((long) this.id.hashCode()), nowNanos);
 		this.log.setWantedVoters(this.wantedVoters);
 		this.log.setDesiredVoterCount(this.desiredVoterCount);
+		if (!this.locations.isEmpty()) {
+			this.log.setWantedVoters(this.locations);
+		}
 	}
 
 	/**
--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/declared/DeclarationCalls.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/declared/DeclarationCalls.java
@@ -1,7 +1,7 @@
 package org.vanillatrestle.daemon.internal.declared;
 
+import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Supplier;
 
@@ -13,6 +13,7 @@
 import org.vanillatrestle.internal.log.LogStatus;
 import org.vanillatrestle.internal.log.ReplicaId;
 import org.vanillatrestle.internal.log.Role;
+import org.vanillatrestle.internal.log.VmLocation;
 import org.vanillatrestle.wire.DeclarationCodec;
 import org.vanillatrestle.wire.MalformedMessageException;
 
@@ -104,7 +105,7 @@
 	}
 
 	@Override
-	public void setControlVms(Set<VmId> vms) {
+	public void setControlVms(Map<VmId, VmLocation> vms) {
 		this.replica.setControlVms(vms);
 	}
 
--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/declared/DeclaredReplica.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/declared/DeclaredReplica.java
@@ -2,8 +2,8 @@
 
 import java.io.IOException;
 import java.nio.file.Path;
+import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.RejectedExecutionException;
 import java.util.function.Consumer;
@@ -23,6 +23,7 @@
 import org.vanillatrestle.internal.log.LogStatus;
 import org.vanillatrestle.internal.log.Role;
 import org.vanillatrestle.internal.log.StateMachine;
+import org.vanillatrestle.internal.log.VmLocation;
 import org.vanillatrestle.wire.DeclarationCodec;
 import org.vanillatrestle.wire.DeclarationStateMachine;
 
@@ -51,7 +52,7 @@
 
 	private final Consumer<DeclaredState> changes;
 
-	private volatile Set<VmId> wantedVms;
+	private volatile Map<VmId, VmLocation> wantedVms = Map.of();
 
 	private volatile ReplicaHost host;
 
@@ -80,7 +81,6 @@
 		this.settings = settings;
 		this.minVoters = minVoters;
 		this.changes = changes;
-		this.wantedVms = settings.wantedVoters();
 		FolderFiles files = new FolderFiles(folder);
 		boolean empty = files.names().isEmpty();
 		open(files, (founding && empty) ? OpenMode.CREATE_GROUP : OpenMode.JOIN_IF_EMPTY);
@@ -103,10 +103,10 @@
 
 	/**
 	 * Sets the VMs that may hold a replica.
-	 * @param vms the known control VMs
+	 * @param vms the locations of the known control VMs
 	 */
-	public void setControlVms(Set<VmId> vms) {
-		this.wantedVms = Set.copyOf(vms);
+	public void setControlVms(Map<VmId, VmLocation> vms) {
+		this.wantedVms = Map.copyOf(vms);
 		this.host.setWantedVoters(this.wantedVms);
 	}
 
--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/fleet/ControlFleet.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/fleet/ControlFleet.java
@@ -1,7 +1,6 @@
 package org.vanillatrestle.daemon.internal.fleet;
 
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -22,6 +21,7 @@
 import org.vanillatrestle.internal.fleet.StatePushScheduler;
 import org.vanillatrestle.internal.fleet.TargetReport;
 import org.vanillatrestle.internal.fleet.TargetTable;
+import org.vanillatrestle.internal.log.VmLocation;
 import org.vanillatrestle.internal.quarantine.SuspectPart;
 import org.vanillatrestle.internal.quarantine.SuspectTable;
 import org.vanillatrestle.wire.FleetNews;
@@ -67,7 +67,7 @@
 
 	private final EntryTable entries = new EntryTable();
 
-	private final Set<VmId> controlVms = new HashSet<>();
+	private final Map<VmId, VmLocation> controlVms = new HashMap<>();
 
 	private final StatePushScheduler statePushes = new StatePushScheduler();
 
@@ -98,6 +98,7 @@
 		this.loop = loop;
 		this.replica = replica;
 		this.loads = new LoadExchange(links, loop);
+		this.controlVms.putAll(links.ownLocation());
 	}
 
 	/**
@@ -243,7 +244,8 @@
 
 	@Override
 	public void connected(PeerIdentity peer, boolean control) {
-		if (control && this.controlVms.add(peer.vm())) {
+		VmLocation location = new VmLocation(peer.region(), peer.dataCentre());
+		if (control && !location.equals(this.controlVms.put(peer.vm(), location))) {
 			this.replica.setControlVms(this.controlVms);
 		}
 		sendTargets(this.targets.reports(System.nanoTime()), (other) -> other.vm().equals(peer.vm()));
@@ -304,9 +306,9 @@
 
 		/**
 		 * Sets the VMs that may hold a replica.
-		 * @param vms the known control VMs
+		 * @param vms the locations of the known control VMs
 		 */
-		void setControlVms(Set<VmId> vms);
+		void setControlVms(Map<VmId, VmLocation> vms);
 
 		/**
 		 * Processes a message from another replica.
--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/fleet/FleetLinks.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/fleet/FleetLinks.java
@@ -27,6 +27,7 @@
 import org.vanillatrestle.daemon.internal.logging.EventKind;
 import org.vanillatrestle.daemon.internal.logging.EventLog;
 import org.vanillatrestle.daemon.internal.settings.HostAndPort;
+import org.vanillatrestle.internal.log.VmLocation;
 import org.vanillatrestle.wire.FleetCodec;
 import org.vanillatrestle.wire.FleetNews;
 import org.vanillatrestle.wire.MalformedMessageException;
@@ -193,6 +194,14 @@
 		});
 	}
 
+	/**
+	 * Returns where this VM is.
+	 * @return its location by its id
+	 */
+	Map<VmId, VmLocation> ownLocation() {
+		return Map.of(this.settings.vm(), new VmLocation(this.settings.region(), this.settings.dataCentre()));
+	}
+
 	/**
 	 * Returns the connected control VMs.
 	 * @return their identities
--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/replica/ReplicaHost.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/replica/ReplicaHost.java
@@ -1,8 +1,8 @@
 package org.vanillatrestle.daemon.internal.replica;
 
 import java.io.IOException;
+import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.TimeUnit;
@@ -24,6 +24,7 @@
 import org.vanillatrestle.internal.log.Role;
 import org.vanillatrestle.internal.log.StateChange;
 import org.vanillatrestle.internal.log.StateMachine;
+import org.vanillatrestle.internal.log.VmLocation;
 import org.vanillatrestle.wire.LogMessageCodec;
 import org.vanillatrestle.wire.MalformedMessageException;
 
@@ -169,9 +170,8 @@
 	}
 
 	/**
-	 * Reads the state machine on the replica's thread. An action attached to the future
-	 * of {@link #confirmRead()} after its completion runs on the attaching thread
-	 * instead.
+	 * Reads the state machine on the replica's thread, on which an action attached to a
+	 * completed {@link #confirmRead()} does not run.
 	 * @param <T> the type of the result
 	 * @param reader reads the state machine; must return a copy
 	 * @return the result; fails with {@link RejectedExecutionException} if the replica is
@@ -214,10 +214,10 @@
 	}
 
 	/**
-	 * Sets the VMs that should each have a voter.
-	 * @param vms the desired VMs
+	 * Sets the VMs that may have a voter.
+	 * @param vms the locations of the desired VMs
 	 */
-	public void setWantedVoters(Set<VmId> vms) {
+	public void setWantedVoters(Map<VmId, VmLocation> vms) {
 		this.inputs.submit(() -> this.log.setWantedVoters(vms), () -> {
 		});
 	}
