Ask to join the group as soon as its VMs are known

Callers saw: a control VM that came back without its disk became a voter up to 0.8 s later than needed. Until then the loss of a second disk leaves no majority.

Cause: a new replica sent its first request to join when it started, before any link was up, to nobody, and the next one an election timeout later.

Evidence: shouldAskNewlyKnownVmToJoinWithoutDelay. Before: no message. After: the request to join.

The request is now due whenever the known VMs change, and as before once an election timeout.

--- a/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/log/ReplicatedLog.java
+++ b/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/log/ReplicatedLog.java
@@ -70,11 +70,14 @@
 	/**
 	 * Sets the VMs whose replicas may become voters. A leader admits the replicas of
 	 * these VMs when they ask to join; a replica outside the group sends its join
-	 * requests to these VMs.
+	 * requests to these VMs, without delay when they change.
 	 * @param vms the wanted VMs; a voter on any other VM stays until it is removed
 	 * explicitly or as an unresponsive or excess voter, see {@link #setDesiredVoterCount}
 	 */
 	public void setWantedVoters(Set<VmId> vms) {
+		if (!vms.equals(this.wantedVoters)) {
+			this.lastJoinRequestNanos = this.state.nowNanos() - this.state.settings().electionTimeoutNanos();
+		}
 		this.wantedVoters = Set.copyOf(vms);
 		this.membershipChanges.setWantedVoters(vms);
 	}
--- a/vanillatrestle-core/src/test/java/org/vanillatrestle/internal/log/ReplicatedLogTests.java
+++ b/vanillatrestle-core/src/test/java/org/vanillatrestle/internal/log/ReplicatedLogTests.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import java.util.TreeSet;
 
 import org.apache.commons.rng.simple.RandomSource;
@@ -24,6 +25,18 @@
 		assertThat(group.status(group.leader().orElseThrow()).snapshotIndex()).isPositive();
 	}
 
+	@Test
+	void shouldAskNewlyKnownVmToJoinWithoutDelay() {
+		ReplicaId self = new ReplicaId(new VmId("vm-1"), new StorageId("s"));
+		ReplicatedLog log = new ReplicatedLog(self, LogSettings.defaults(), RecoveredState.initial(Membership.NONE),
+				RandomSource.SPLIT_MIX_64.create(1L), 0);
+		log.tick(1);
+		log.setWantedVoters(Set.of(new VmId("vm-2")));
+		log.tick(2);
+		assertThat(log.takeOutputs().messages()).extracting(LogEnvelope::message)
+			.containsExactly(new LogMessage.JoinRequest(0));
+	}
+
 	@ParameterizedTest
 	@ValueSource(ints = { 3, 5 })
 	void shouldElectAnotherLeaderWhenLeaderCrashes(int size) {
