Test that reads after a lost disk and a loss of power see what was acknowledged

The property for a disk and the power lost together isolated followers only, and read nothing. It now cuts off any replica, the leader too, and asks every replica for reads while the group works and after each restart. A confirmed read must see all that was acknowledged before it was asked for.

--- a/vanillatrestle-core/src/test/java/org/vanillatrestle/internal/log/DesiredVoterCountTests.java
+++ b/vanillatrestle-core/src/test/java/org/vanillatrestle/internal/log/DesiredVoterCountTests.java
@@ -149,7 +149,7 @@
 		Random random = new Random(seed);
 		for (int round = 0; round < 3; round++) {
 			if (random.nextBoolean()) {
-				group.isolate(followingVoter(group));
+				group.isolate(group.replica(random.nextInt(size)));
 			}
 			acknowledgeOne(group, random);
 			group.loseDisk(group.replica(random.nextInt(size)));
@@ -217,6 +217,7 @@
 				default -> group.advanceTime(random.nextInt(3));
 			}
 			if (step % 100 == 0) {
+				group.requestReads();
 				group.propose();
 			}
 		}
@@ -231,6 +232,7 @@
 		for (SimulatedReplica replica : order) {
 			group.start(replica);
 			group.runFor(random.nextInt(400));
+			group.requestReads();
 		}
 	}
 
--- a/vanillatrestle-core/src/test/java/org/vanillatrestle/internal/log/Oracle.java
+++ b/vanillatrestle-core/src/test/java/org/vanillatrestle/internal/log/Oracle.java
@@ -40,6 +40,10 @@
 		this.acknowledgedIndexes.add(index);
 	}
 
+	long lastAcknowledged() {
+		return this.acknowledgedIndexes.stream().mapToLong(Long::longValue).max().orElse(0);
+	}
+
 	int acknowledgedCount() {
 		return this.acknowledgedIndexes.size();
 	}
--- a/vanillatrestle-core/src/test/java/org/vanillatrestle/internal/log/SimulatedGroup.java
+++ b/vanillatrestle-core/src/test/java/org/vanillatrestle/internal/log/SimulatedGroup.java
@@ -252,6 +252,10 @@
 		return replica.log().status(this.nowNanos);
 	}
 
+	void requestReads() {
+		this.replicas.stream().filter(SimulatedReplica::isUp).forEach((replica) -> replica.requestRead(this.nowNanos));
+	}
+
 	void propose() {
 		leader().ifPresent(this::proposeTo);
 	}
--- a/vanillatrestle-core/src/test/java/org/vanillatrestle/internal/log/SimulatedReplica.java
+++ b/vanillatrestle-core/src/test/java/org/vanillatrestle/internal/log/SimulatedReplica.java
@@ -27,6 +27,8 @@
 
 	private final Map<Long, Long> proposalTermByIndex = new HashMap<>();
 
+	private final Map<Long, Long> acknowledgedIndexByRead = new HashMap<>();
+
 	private final List<String> appliedCommands = new ArrayList<>();
 
 	private final Set<VmId> wantedVoters;
@@ -96,6 +98,7 @@
 	void start(long nowNanos) {
 		this.appliedCommands.clear();
 		this.proposalTermByIndex.clear();
+		this.acknowledgedIndexByRead.clear();
 		this.appliedIndex = 0;
 		this.writeNumber = 0;
 		LogSettings settings = new LogSettings(50_000_000, 300_000_000, 300, 1200, 24, 2000, 40, 400);
@@ -135,6 +138,10 @@
 		}
 	}
 
+	void requestRead(long nowNanos) {
+		this.acknowledgedIndexByRead.put(this.log.requestRead(nowNanos), this.oracle.lastAcknowledged());
+	}
+
 	/**
 	 * Sends the messages, applies the state changes and executes the writes without
 	 * syncing them. Returns whether there was anything to do.
@@ -147,6 +154,11 @@
 		Outputs outputs = this.log.takeOutputs();
 		outputs.messages().forEach(this.network);
 		outputs.stateChanges().forEach(this::applyChange);
+		outputs.reads()
+			.stream()
+			.filter(ReadResult::confirmed)
+			.forEach((read) -> assertThat(this.appliedIndex).as("read at %s", this.id)
+				.isGreaterThanOrEqualTo(this.acknowledgedIndexByRead.get(read.ticket())));
 		for (DiskWrite write : outputs.writes()) {
 			this.disk.write(write);
 			this.crashPointHook.run();
