--- a/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/log/ReplicatedLog.java
+++ b/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/log/ReplicatedLog.java
@@ -2,6 +2,7 @@
 
 import java.util.Collection;
 import java.util.Comparator;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 
@@ -69,15 +70,28 @@
 	/**
 	 * Sets the VMs whose replicas may become voters. A leader admits the replicas of
 	 * these VMs when they ask to join; a replica outside the group sends its join
-	 * requests to these VMs.
+	 * requests to these VMs, without delay when they change.
 	 * @param vms the wanted VMs; a voter on any other VM stays until it is removed
 	 * explicitly or as an unresponsive or excess voter, see {@link #setDesiredVoterCount}
 	 */
 	public void setWantedVoters(Set<VmId> vms) {
+		if (!vms.equals(this.wantedVoters)) {
+			this.lastJoinRequestNanos = this.state.nowNanos() - this.state.settings().electionTimeoutNanos();
+		}
 		this.wantedVoters = Set.copyOf(vms);
 		this.membershipChanges.setWantedVoters(vms);
 	}
 
+	/**
+	 * Sets the VMs whose replicas may become voters, and where they are, so that the
+	 * voters are spread over regions and data centres.
+	 * @param vms the locations of the wanted VMs
+	 */
+	public void setWantedVoters(Map<VmId, VmLocation> vms) {
+		setWantedVoters(vms.keySet());
+		this.membershipChanges.setLocations(vms);
+	}
+
 	/**
 	 * Sets the number of voters that the group should have. The leader keeps additional
 	 * replicas as learners and replaces unresponsive voters with them. If no number is
--- a/vanillatrestle-core/src/test/java/org/vanillatrestle/internal/log/DesiredVoterCountTests.java
+++ b/vanillatrestle-core/src/test/java/org/vanillatrestle/internal/log/DesiredVoterCountTests.java
@@ -1,12 +1,20 @@
 package org.vanillatrestle.internal.log;
 
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Random;
 
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
+import net.jqwik.api.ShrinkingMode;
 import net.jqwik.api.constraints.IntRange;
 import org.junit.jupiter.api.Test;
+import org.vanillatrestle.DataCentreId;
+import org.vanillatrestle.RegionId;
+import org.vanillatrestle.VmId;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -62,6 +70,23 @@
 		assertThat(membership(group).isVoter(isolated.id())).isTrue();
 	}
 
+	@Test
+	void shouldNotPromoteLearnerThatIsLostTogetherWithVoter() {
+		SimulatedGroup group = group(4);
+		SimulatedReplica voter = followingVoter(group);
+		SimulatedReplica learner = group.replicas()
+			.stream()
+			.filter((replica) -> membership(group).isLearner(replica.id()))
+			.findFirst()
+			.orElseThrow();
+		group.loseDisk(voter);
+		group.loseDisk(learner);
+		group.runFor(2_000);
+		group.restartStopped();
+		assertThat(group.runUntil(DesiredVoterCountTests::isComplete)).isTrue();
+		group.commit(1);
+	}
+
 	@Test
 	void shouldElectLeaderWithinElectionTimeoutAfterAllRestart() {
 		SimulatedGroup group = group(3);
@@ -112,6 +137,105 @@
 		assertThat(group.replicas()).allSatisfy((replica) -> assertThat(replica.appliedCommands()).isEqualTo(expected));
 	}
 
+	/**
+	 * At an acknowledgement that may have reached two replicas only, one replica loses
+	 * its disk and all others lose power; they start in any order, and again before the
+	 * lost replica is replaced.
+	 */
+	@Property(seed = "20261207", tries = 100, shrinking = ShrinkingMode.OFF)
+	void shouldKeepAcknowledgedEntriesWhenDiskAndPowerAreLostTogether(@ForAll long seed,
+			@ForAll @IntRange(min = 3, max = 5) int size) {
+		SimulatedGroup group = group(size);
+		Random random = new Random(seed);
+		for (int round = 0; round < 3; round++) {
+			if (random.nextBoolean()) {
+				group.isolate(group.replica(random.nextInt(size)));
+			}
+			acknowledgeOne(group, random);
+			group.loseDisk(group.replica(random.nextInt(size)));
+			restartAll(group, random);
+			group.runFor(random.nextInt(1_000));
+			restartAll(group, random);
+			assertThat(group.runUntil(DesiredVoterCountTests::isComplete)).as("seed %s round %s", seed, round).isTrue();
+			assertThat(group.leader().orElseThrow().appliedCommands()).as("seed %s round %s", seed, round)
+				.isEqualTo(group.oracle().commandsUpTo(group.oracle().lastCommitted()));
+		}
+	}
+
+	@Test
+	void shouldReplaceVoterByLearnerBesideAnotherVoterOnlyAfterLongSilence() {
+		SimulatedGroup group = groupInThreeRegions(4);
+		assertThat(group.runUntil(DesiredVoterCountTests::isComplete)).isTrue();
+		group.runFor(1_000);
+		SimulatedReplica alone = group.replica((group.leader().orElseThrow() == group.replica(1)) ? 2 : 1);
+		group.isolate(alone);
+		group.runFor(5 * ELECTION_TIMEOUT_MILLIS);
+		assertThat(membership(group).isVoter(alone.id())).isTrue();
+		group.runFor(5 * ELECTION_TIMEOUT_MILLIS);
+		assertThat(membership(group).isVoter(alone.id())).isFalse();
+		assertThat(membership(group).voters()).hasSize(DESIRED_VOTERS);
+	}
+
+	/**
+	 * Two VMs a region: with two voters in one region, the loss of its disks took
+	 * acknowledged entries with it.
+	 */
+	@Property(seed = "20261208", tries = 60, shrinking = ShrinkingMode.OFF)
+	void shouldKeepAcknowledgedEntriesWhenDisksOfRegionAreLost(@ForAll long seed) {
+		SimulatedGroup group = groupInThreeRegions(6);
+		Random random = new Random(seed);
+		for (int round = 0; round < 3; round++) {
+			assertThat(group.runUntil(DesiredVoterCountTests::isComplete)).as("seed %s round %s", seed, round).isTrue();
+			group.runFor(1_000);
+			int region = random.nextInt(3);
+			boolean disksLost = random.nextBoolean();
+			group.commit(1);
+			for (SimulatedReplica replica : List.of(group.replica(region), group.replica(region + 3))) {
+				if (disksLost) {
+					group.loseDisk(replica);
+				}
+				else {
+					group.isolate(replica);
+				}
+			}
+			group.runFor(random.nextInt(3_000));
+			restartAll(group, random);
+		}
+		assertThat(group.runUntil(DesiredVoterCountTests::isComplete)).as("seed %s", seed).isTrue();
+		assertThat(group.leader().orElseThrow().appliedCommands())
+			.isEqualTo(group.oracle().commandsUpTo(group.oracle().lastCommitted()));
+	}
+
+	private static void acknowledgeOne(SimulatedGroup group, Random random) {
+		int acknowledged = group.oracle().acknowledgedCount();
+		for (int step = 0; step < 20_000 && group.oracle().acknowledgedCount() == acknowledged; step++) {
+			SimulatedReplica replica = group.replica(random.nextInt(group.replicas().size()));
+			switch (random.nextInt(4)) {
+				case 0 -> group.processOutputs(replica);
+				case 1 -> group.sync(replica);
+				case 2 -> group.deliver(random.nextInt(3), false);
+				default -> group.advanceTime(random.nextInt(3));
+			}
+			if (step % 100 == 0) {
+				group.requestReads();
+				group.propose();
+			}
+		}
+		assertThat(group.oracle().acknowledgedCount()).isGreaterThan(acknowledged);
+	}
+
+	private static void restartAll(SimulatedGroup group, Random random) {
+		List<SimulatedReplica> order = new ArrayList<>(group.replicas());
+		order.forEach((replica) -> replica.crash(random.nextInt(4)));
+		group.reconnectAll();
+		Collections.shuffle(order, random);
+		for (SimulatedReplica replica : order) {
+			group.start(replica);
+			group.runFor(random.nextInt(400));
+			group.requestReads();
+		}
+	}
+
 	private static boolean isComplete(SimulatedGroup group) {
 		if (group.leader().isEmpty()) {
 			return false;
@@ -132,6 +256,18 @@
 		return group;
 	}
 
+	private static SimulatedGroup groupInThreeRegions(int size) {
+		SimulatedGroup group = new SimulatedGroup(size);
+		Map<VmId, VmLocation> locations = new HashMap<>();
+		for (int i = 0; i < size; i++) {
+			locations.put(group.replica(i).id().vm(),
+					new VmLocation(new RegionId("r" + i % 3), new DataCentreId("z" + i)));
+		}
+		group.replicas().forEach((replica) -> replica.setDesiredVoterCount(DESIRED_VOTERS));
+		group.replicas().forEach((replica) -> replica.setLocations(locations));
+		return group;
+	}
+
 	private static Membership membership(SimulatedGroup group) {
 		return group.status(group.leader().orElseThrow()).membership();
 	}
