Keep a caller's connection until its answer is written and read

What callers saw: a caller that read its answer slowly got it cut when the VM stopped, and an answer that announced the close of its connection could be destroyed by a reset.

Cause: a request counted as ended when its answer was passed to the channel, not when it was written to the socket, so a stopping VM found nothing in progress and closed the connection. The time after which an idle connection is closed ran from then too. And a connection was closed right after its last answer: input that arrives at a closed socket resets it, and the system discards what the caller has not received yet.

Why it works: a request stays active until the last byte is written, and a connection whose answer is not taken is closed only if no byte was taken for the idle timeout. After the last answer only the output is shut down; input is read and discarded until the peer closes, half a second at most.

--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/http/CallerConnection.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/http/CallerConnection.java
@@ -9,8 +9,11 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelOutboundBuffer;
+import io.netty.channel.socket.DuplexChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpObject;
@@ -23,6 +26,7 @@
 import io.netty.handler.codec.http.TooLongHttpLineException;
 import io.netty.util.ReferenceCountUtil;
 import io.netty.util.concurrent.Future;
+import org.vanillatrestle.daemon.internal.pipeline.AnswerSink;
 import org.vanillatrestle.daemon.internal.pipeline.CallerRequest;
 import org.vanillatrestle.daemon.internal.pipeline.Refusal;
 import org.vanillatrestle.daemon.internal.pipeline.Refusals;
@@ -32,14 +36,23 @@
  * Handles the requests of one connection sequentially and passes each to the routes once
  * its body is complete.
  * <p>
- * Memory is bounded: the settings limit the size of the head and of the body, and
- * {@link #MAX_PIPELINED_PARTS} limits the number of buffered parts of pipelined requests.
- * Must be called on the VM's event loop.
+ * A request is active until its answer has been written to the socket. No request is read
+ * after an answer that announced the close of the connection. Memory is bounded: the
+ * settings limit the size of the head and of the body, and {@link #MAX_PIPELINED_PARTS}
+ * limits the number of buffered parts of pipelined requests. Must be called on the VM's
+ * event loop.
  */
 final class CallerConnection extends ChannelInboundHandlerAdapter {
 
 	private static final int MAX_PIPELINED_PARTS = 32;
 
+	/**
+	 * Maximum time to wait for the peer to close the connection after the last answer, a
+	 * few round trips between regions. A socket closed with unread input is reset, which
+	 * may destroy an answer that the peer has not read yet.
+	 */
+	private static final long LINGER_MILLIS = 500;
+
 	private final HttpLimits limits;
 
 	private final BodyMemory memory;
@@ -62,7 +75,9 @@
 
 	private boolean requestActive;
 
-	private boolean rejected;
+	private boolean answerPassed;
+
+	private boolean closing;
 
 	private ConnectionListener listener;
 
@@ -89,7 +104,7 @@
 			ReferenceCountUtil.release(message);
 			return;
 		}
-		if (this.requestActive) {
+		if (this.requestActive && !this.closing) {
 			this.pipelinedParts.add(http);
 			context.channel().config().setAutoRead(this.pipelinedParts.size() < MAX_PIPELINED_PARTS);
 			return;
@@ -98,7 +113,7 @@
 	}
 
 	private void read(ChannelHandlerContext context, HttpObject http) {
-		if (this.rejected) {
+		if (this.closing) {
 			ReferenceCountUtil.release(http);
 			return;
 		}
@@ -139,7 +154,7 @@
 
 	private void readBody(ChannelHandlerContext context, HttpContent content) {
 		try {
-			if (this.rejected || this.head == null) {
+			if (this.closing || this.head == null) {
 				return;
 			}
 			if (!append(context, content.content())) {
@@ -184,14 +199,18 @@
 		this.head = null;
 		this.requestActive = true;
 		this.activeRequests.incrementAndGet();
-		boolean keepAlive = HttpUtil.isKeepAlive(request) && !this.shuttingDown.getAsBoolean();
-		HttpAnswerSink sink = new HttpAnswerSink(context, request.protocolVersion(), keepAlive,
-				() -> answerCompleted(context));
-		ConnectionListener routeListener = serve(request, bytes, sink);
-		this.listener = this.requestActive ? routeListener : null;
+		this.answerPassed = false;
+		ConnectionListener routeListener = serve(request, bytes,
+				newSink(context, request.protocolVersion(), HttpUtil.isKeepAlive(request)));
+		this.listener = this.answerPassed ? null : routeListener;
 	}
 
-	private ConnectionListener serve(HttpRequest request, byte[] bytes, HttpAnswerSink sink) {
+	private HttpAnswerSink newSink(ChannelHandlerContext context, HttpVersion version, boolean keepAlive) {
+		return new HttpAnswerSink(context, version, keepAlive && !this.shuttingDown.getAsBoolean(),
+				(written, closes) -> answerCompleted(context, written, closes));
+	}
+
+	private ConnectionListener serve(HttpRequest request, byte[] bytes, AnswerSink sink) {
 		String uri = request.uri();
 		int queryStart = uri.indexOf('?');
 		String path = (queryStart < 0) ? uri : uri.substring(0, queryStart);
@@ -204,14 +223,59 @@
 				sink);
 	}
 
-	private void answerCompleted(ChannelHandlerContext context) {
+	private void answerCompleted(ChannelHandlerContext context, ChannelFuture written, boolean closesConnection) {
 		releaseMemory();
-		markIdle();
+		this.answerPassed = true;
 		this.listener = null;
+		this.closing = closesConnection;
+		if (!written.isDone()) {
+			closeWhenStalled(context, unwrittenBytes(context));
+		}
+		written.addListener((done) -> answerWritten(context, done.isSuccess()));
+	}
+
+	private void answerWritten(ChannelHandlerContext context, boolean succeeded) {
+		markIdle();
+		if (!succeeded || !context.channel().isActive()) {
+			context.close();
+			return;
+		}
+		if (this.closing) {
+			closeAfterPeer(context);
+			return;
+		}
 		startIdleTimer(context);
 		context.executor().execute(() -> readPipelined(context));
 	}
 
+	private void closeWhenStalled(ChannelHandlerContext context, long bytesBefore) {
+		startTimer(context, this.limits.idleTimeoutMillis(), () -> {
+			long bytes = unwrittenBytes(context);
+			if (bytes >= bytesBefore) {
+				context.close();
+				return;
+			}
+			closeWhenStalled(context, bytes);
+		});
+	}
+
+	private static long unwrittenBytes(ChannelHandlerContext context) {
+		ChannelOutboundBuffer output = context.channel().unsafe().outboundBuffer();
+		return (output != null) ? output.totalPendingWriteBytes() - output.currentProgress() : 0;
+	}
+
+	private void closeAfterPeer(ChannelHandlerContext context) {
+		this.pipelinedParts.forEach(ReferenceCountUtil::release);
+		this.pipelinedParts.clear();
+		if (!(context.channel() instanceof DuplexChannel channel)) {
+			context.close();
+			return;
+		}
+		startTimer(context, LINGER_MILLIS, context::close);
+		channel.config().setAutoRead(true);
+		channel.shutdownOutput();
+	}
+
 	private void markIdle() {
 		if (this.requestActive) {
 			this.requestActive = false;
@@ -230,12 +294,11 @@
 
 	private void reject(ChannelHandlerContext context, Refusal refusal) {
 		stopTimer();
-		this.rejected = true;
+		this.closing = true;
 		this.head = null;
 		releaseBody();
 		releaseMemory();
-		new HttpAnswerSink(context, HttpVersion.HTTP_1_1, false, () -> {
-		}).refuse(refusal);
+		newSink(context, HttpVersion.HTTP_1_1, false).refuse(refusal);
 	}
 
 	private void startIdleTimer(ChannelHandlerContext context) {
--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/http/HttpAnswerSink.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/http/HttpAnswerSink.java
@@ -4,7 +4,6 @@
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
-import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelOption;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
@@ -37,15 +36,17 @@
 
 	private final boolean keepAlive;
 
-	private final Runnable completionCallback;
+	private final CompletionListener listener;
+
+	private boolean closesConnection;
 
 	private boolean complete;
 
-	HttpAnswerSink(ChannelHandlerContext context, HttpVersion version, boolean keepAlive, Runnable completionCallback) {
+	HttpAnswerSink(ChannelHandlerContext context, HttpVersion version, boolean keepAlive, CompletionListener listener) {
 		this.context = context;
 		this.version = version;
 		this.keepAlive = keepAlive;
-		this.completionCallback = completionCallback;
+		this.listener = listener;
 	}
 
 	@Override
@@ -77,7 +78,8 @@
 	}
 
 	private void setConnectionHeader(HttpResponse response) {
-		if (!this.keepAlive) {
+		this.closesConnection = !this.keepAlive;
+		if (this.closesConnection) {
 			response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
 		}
 	}
@@ -101,10 +103,7 @@
 
 	private void finish(ChannelFuture written) {
 		this.complete = true;
-		if (!this.keepAlive) {
-			written.addListener(ChannelFutureListener.CLOSE);
-		}
-		this.completionCallback.run();
+		this.listener.answerCompleted(written, this.closesConnection);
 	}
 
 	@Override
@@ -130,4 +129,18 @@
 		return this.context.channel().isWritable();
 	}
 
+	/**
+	 * Notified once, when the whole answer has been passed to the channel.
+	 */
+	interface CompletionListener {
+
+		/**
+		 * Called when the last byte of the answer has been passed to the channel.
+		 * @param written completes when that byte has been written to the socket
+		 * @param closesConnection whether the answer announced that the connection closes
+		 */
+		void answerCompleted(ChannelFuture written, boolean closesConnection);
+
+	}
+
 }
