Decide when the answer is written whether the connection closes

What callers saw: the answer to a request that a VM had read before SIGTERM did not announce the close of its connection, so that callers went on using connections of a VM that was about to end.

Cause: HttpAnswerSink was told when the request was read.

Why it works: the sink asks when it writes the head.

--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/http/CallerConnection.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/http/CallerConnection.java
@@ -206,7 +206,7 @@
 	}
 
 	private HttpAnswerSink newSink(ChannelHandlerContext context, HttpVersion version, boolean keepAlive) {
-		return new HttpAnswerSink(context, version, keepAlive && !this.shuttingDown.getAsBoolean(),
+		return new HttpAnswerSink(context, version, keepAlive, this.shuttingDown,
 				(written, closes) -> answerCompleted(context, written, closes));
 	}
 
--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/http/HttpAnswerSink.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/http/HttpAnswerSink.java
@@ -1,5 +1,7 @@
 package org.vanillatrestle.daemon.internal.http;
 
+import java.util.function.BooleanSupplier;
+
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
@@ -25,7 +27,8 @@
 /**
  * Writes the answer to one request to the caller's connection.
  * <p>
- * Must be called on the VM's event loop. {@link #abort()} resets the connection without
+ * Must be called on the VM's event loop. Whether the connection is kept is decided when
+ * the head of the answer is written. {@link #abort()} resets the connection without
  * writing a final chunk.
  */
 final class HttpAnswerSink implements AnswerSink {
@@ -36,16 +39,20 @@
 
 	private final boolean keepAlive;
 
+	private final BooleanSupplier shuttingDown;
+
 	private final CompletionListener listener;
 
 	private boolean closesConnection;
 
 	private boolean complete;
 
-	HttpAnswerSink(ChannelHandlerContext context, HttpVersion version, boolean keepAlive, CompletionListener listener) {
+	HttpAnswerSink(ChannelHandlerContext context, HttpVersion version, boolean keepAlive, BooleanSupplier shuttingDown,
+			CompletionListener listener) {
 		this.context = context;
 		this.version = version;
 		this.keepAlive = keepAlive;
+		this.shuttingDown = shuttingDown;
 		this.listener = listener;
 	}
 
@@ -78,7 +85,7 @@
 	}
 
 	private void setConnectionHeader(HttpResponse response) {
-		this.closesConnection = !this.keepAlive;
+		this.closesConnection = !this.keepAlive || this.shuttingDown.getAsBoolean();
 		if (this.closesConnection) {
 			response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
 		}
