Close the servers of a stopping VM only when no request is in progress

What callers saw: a request on a kept connection that a target ran, and a connection that ended without an answer, around SIGTERM.

Cause: the VM found no request in progress, then closed its control and metrics servers and the links to other VMs, and only then the servers for requests, which went on passing requests to targets in between. At the end of the grace time, requests in progress were cut. Control VMs did not wait for calls in progress at all.

Why it works: ServerDrain checks on the event loop that nothing is in progress and stops all servers in the same task: no connection is accepted, idle ones are closed, a request that is still being received is refused. What is in progress when the time is up is answered with 502, or cut if its answer has begun, before anything else of the VM closes. This holds for callers, other VMs, targets and operators alike.

--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/GatewayNode.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/GatewayNode.java
@@ -19,6 +19,7 @@
 import org.vanillatrestle.daemon.internal.http.HttpRoute;
 import org.vanillatrestle.daemon.internal.http.HttpRoutes;
 import org.vanillatrestle.daemon.internal.http.HttpServer;
+import org.vanillatrestle.daemon.internal.http.ServerDrain;
 import org.vanillatrestle.daemon.internal.lifecycle.Closer;
 import org.vanillatrestle.daemon.internal.logging.EventKind;
 import org.vanillatrestle.daemon.internal.logging.EventLog;
@@ -32,7 +33,7 @@
  * <p>
  * A single event loop owns all state of the request path. {@link #close()} is graceful:
  * the VM leaves the directory, completes the requests in progress within the grace time,
- * and then releases all resources. Thread safe.
+ * closes its servers, and then releases all resources. Thread safe.
  */
 public final class GatewayNode implements AutoCloseable {
 
@@ -47,14 +48,14 @@
 	 */
 	private static final long CLOSE_RESERVE_MILLIS = 700;
 
-	private static final long POLL_MILLIS = 50;
-
 	private final GatewaySettings settings;
 
 	private final Closer closer = new Closer();
 
 	private final EventLoop loop;
 
+	private final List<HttpServer> servers = new ArrayList<>();
+
 	private FleetLinks links;
 
 	private Optional<EntryVm> entry = Optional.empty();
@@ -105,6 +106,7 @@
 			EntryVm part = new EntryVm(this.settings, protocol, this.loop, this.links, random, this.closer);
 			this.links.listen(part.fleet());
 			part.start(this.closer);
+			this.servers.addAll(part.servers());
 			this.entry = Optional.of(part);
 		}
 		else {
@@ -130,7 +132,9 @@
 	}
 
 	private void listen(HostAndPort address, List<HttpRoute> routes) throws IOException {
-		this.closer.add(new HttpServer(this.loop, HttpLimits.DEFAULT, new HttpRoutes(routes))).listen(address);
+		HttpServer server = this.closer.add(new HttpServer(this.loop, HttpLimits.DEFAULT, new HttpRoutes(routes)));
+		server.listen(address);
+		this.servers.add(server);
 	}
 
 	/**
@@ -149,26 +153,11 @@
 		}
 		this.closed = true;
 		EventLog.write(EventKind.STOPPING, "vm", this.settings.vm());
-		this.entry.ifPresent(this::drain);
+		this.entry.ifPresent(EntryVm::startShutdown);
+		new ServerDrain(this.loop, this.servers).run(this.entry.isPresent() ? MIN_DRAIN_MILLIS : 0,
+				this.settings.bounds().graceMillis() - CLOSE_RESERVE_MILLIS);
 		this.closer.close();
 		EventLog.write(EventKind.STOPPED, "vm", this.settings.vm());
 	}
 
-	private void drain(EntryVm part) {
-		long startNanos = System.nanoTime();
-		part.startShutdown();
-		long graceMillis = this.settings.bounds().graceMillis() - CLOSE_RESERVE_MILLIS;
-		long waitedMillis = 0;
-		while (waitedMillis < graceMillis && (waitedMillis < MIN_DRAIN_MILLIS || part.busyCount() > 0)) {
-			try {
-				Thread.sleep(POLL_MILLIS);
-			}
-			catch (InterruptedException ex) {
-				Thread.currentThread().interrupt();
-				return;
-			}
-			waitedMillis = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startNanos);
-		}
-	}
-
 }
--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/EntryVm.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/EntryVm.java
@@ -178,21 +178,19 @@
 	}
 
 	/**
-	 * Starts a graceful shutdown.
+	 * Tells the other VMs and the directory that this VM takes no new callers.
 	 */
 	public void startShutdown() {
 		this.shuttingDown = true;
-		this.callerServer.startShutdown();
-		this.forwardServer.startShutdown();
 		this.loop.execute(this.fleet::sendHeartbeat);
 	}
 
 	/**
-	 * Returns the number of requests in progress.
-	 * @return the number
+	 * Returns the servers for requests of callers and of other VMs.
+	 * @return the servers, once they are started
 	 */
-	public int busyCount() {
-		return this.callerServer.activeRequestCount() + this.forwardServer.activeRequestCount();
+	public List<HttpServer> servers() {
+		return List.of(this.callerServer, this.forwardServer);
 	}
 
 	private EntryReport entryReport() {
--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/http/CallerConnection.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/http/CallerConnection.java
@@ -79,6 +79,10 @@
 
 	private boolean closing;
 
+	private boolean stopping;
+
+	private HttpAnswerSink sink;
+
 	private ConnectionListener listener;
 
 	private Future<?> timer;
@@ -200,8 +204,8 @@
 		this.requestActive = true;
 		this.activeRequests.incrementAndGet();
 		this.answerPassed = false;
-		ConnectionListener routeListener = serve(request, bytes,
-				newSink(context, request.protocolVersion(), HttpUtil.isKeepAlive(request)));
+		this.sink = newSink(context, request.protocolVersion(), HttpUtil.isKeepAlive(request));
+		ConnectionListener routeListener = serve(request, bytes, this.sink);
 		this.listener = this.answerPassed ? null : routeListener;
 	}
 
@@ -210,24 +214,29 @@
 				(written, closes) -> answerCompleted(context, written, closes));
 	}
 
-	private ConnectionListener serve(HttpRequest request, byte[] bytes, AnswerSink sink) {
+	private ConnectionListener serve(HttpRequest request, byte[] bytes, AnswerSink answerSink) {
+		if (this.stopping) {
+			answerSink.refuse(Refusals.shuttingDown());
+			return null;
+		}
 		String uri = request.uri();
 		int queryStart = uri.indexOf('?');
 		String path = (queryStart < 0) ? uri : uri.substring(0, queryStart);
 		String query = (queryStart < 0) ? "" : uri.substring(queryStart + 1);
 		if (!path.startsWith("/")) {
-			sink.refuse(Refusals.malformedHttp("the path must begin with /"));
+			answerSink.refuse(Refusals.malformedHttp("the path must begin with /"));
 			return null;
 		}
 		return this.routes.serve(new CallerRequest(request.method().name(), path, query, request.headers(), bytes),
-				sink);
+				answerSink);
 	}
 
 	private void answerCompleted(ChannelHandlerContext context, ChannelFuture written, boolean closesConnection) {
 		releaseMemory();
 		this.answerPassed = true;
 		this.listener = null;
-		this.closing = closesConnection;
+		this.sink = null;
+		this.closing = closesConnection || this.stopping;
 		if (!written.isDone()) {
 			closeWhenStalled(context, unwrittenBytes(context));
 		}
@@ -327,6 +336,33 @@
 		this.reservedBytes = 0;
 	}
 
+	@Override
+	public void userEventTriggered(ChannelHandlerContext context, Object event) throws Exception {
+		if (event instanceof ServerStop stop) {
+			stop(context, stop);
+			return;
+		}
+		super.userEventTriggered(context, event);
+	}
+
+	private void stop(ChannelHandlerContext context, ServerStop stop) {
+		this.stopping = true;
+		if (!this.requestActive) {
+			if (!this.closing && this.head == null) {
+				context.close();
+			}
+			return;
+		}
+		if (this.answerPassed) {
+			stop.countUnwrittenAnswer();
+			this.closing = true;
+			return;
+		}
+		stop.countEndedRequest();
+		endListener();
+		this.sink.stop();
+	}
+
 	@Override
 	public void channelWritabilityChanged(ChannelHandlerContext context) {
 		if (this.listener != null) {
@@ -342,6 +378,10 @@
 		releaseMemory();
 		this.pipelinedParts.forEach(ReferenceCountUtil::release);
 		this.pipelinedParts.clear();
+		endListener();
+	}
+
+	private void endListener() {
 		if (this.listener != null) {
 			ConnectionListener disconnected = this.listener;
 			this.listener = null;
--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/http/ConnectionListener.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/http/ConnectionListener.java
@@ -8,7 +8,8 @@
 public interface ConnectionListener {
 
 	/**
-	 * Called when the caller's connection has closed.
+	 * Called when the caller's connection has closed or the VM ends the request because
+	 * it stops.
 	 */
 	void disconnected();
 
--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/http/HttpAnswerSink.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/http/HttpAnswerSink.java
@@ -6,6 +6,7 @@
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelOption;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
@@ -23,6 +24,7 @@
 import org.vanillatrestle.daemon.internal.pipeline.AnswerSink;
 import org.vanillatrestle.daemon.internal.pipeline.Refusal;
 import org.vanillatrestle.daemon.internal.pipeline.RefusalWriter;
+import org.vanillatrestle.daemon.internal.pipeline.Refusals;
 
 /**
  * Writes the answer to one request to the caller's connection.
@@ -45,6 +47,8 @@
 
 	private boolean closesConnection;
 
+	private boolean headWritten;
+
 	private boolean complete;
 
 	HttpAnswerSink(ChannelHandlerContext context, HttpVersion version, boolean keepAlive, BooleanSupplier shuttingDown,
@@ -58,6 +62,9 @@
 
 	@Override
 	public void answer(AnswerHead head, byte[] body) {
+		if (this.complete) {
+			return;
+		}
 		FullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1,
 				HttpResponseStatus.valueOf(head.status()), Unpooled.wrappedBuffer(body));
 		response.headers().set(head.headers());
@@ -81,6 +88,7 @@
 			HttpUtil.setTransferEncodingChunked(response, true);
 		}
 		setConnectionHeader(response);
+		this.headWritten = true;
 		this.context.writeAndFlush(response);
 	}
 
@@ -126,6 +134,23 @@
 		channel.close();
 	}
 
+	/**
+	 * Ends the answer because the VM stops: with an error, or by closing the connection
+	 * after the parts that were sent.
+	 */
+	void stop() {
+		if (!this.headWritten) {
+			refuse(Refusals.stopped());
+			return;
+		}
+		if (HttpVersion.HTTP_1_0.equals(this.version)) {
+			abort();
+			return;
+		}
+		this.complete = true;
+		this.context.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE);
+	}
+
 	@Override
 	public void refuse(Refusal refusal, AnswerHead head) {
 		answer(head, RefusalWriter.body(refusal));
--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/http/HttpServer.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/http/HttpServer.java
@@ -55,6 +55,8 @@
 
 	private volatile boolean shuttingDown;
 
+	private boolean stopped;
+
 	private Channel server;
 
 	/**
@@ -103,7 +105,7 @@
 	}
 
 	private void initConnection(SocketChannel channel) {
-		if (this.connections.size() >= this.limits.maxConnections()) {
+		if (this.stopped || this.connections.size() >= this.limits.maxConnections()) {
 			channel.close();
 			return;
 		}
@@ -124,6 +126,20 @@
 		this.shuttingDown = true;
 	}
 
+	/**
+	 * Ends the shutdown: accepts no connection, closes those that are idle, refuses
+	 * requests that are still being received and ends those in progress. Must be called
+	 * on the event loop.
+	 * @param stop counts what was not complete
+	 */
+	void stop(ServerStop stop) {
+		this.stopped = true;
+		if (this.server != null) {
+			this.server.close();
+		}
+		this.connections.forEach((connection) -> connection.pipeline().fireUserEventTriggered(stop));
+	}
+
 	/**
 	 * Returns the number of open connections.
 	 * @return the number
@@ -141,7 +157,8 @@
 	}
 
 	/**
-	 * Returns the number of requests in progress. Can be called from any thread.
+	 * Returns the number of requests whose answer has not been written yet. Can be called
+	 * from any thread.
 	 * @return the number
 	 */
 	public int activeRequestCount() {
--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/logging/EventKind.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/logging/EventKind.java
@@ -13,6 +13,8 @@
 	STARTED,
 	/** The process has begun to shut down. */
 	STOPPING,
+	/** The servers of a VM that shuts down have ended. */
+	DRAINED,
 	/** The process has shut down. */
 	STOPPED,
 	/** The settings were reloaded. */
--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/pipeline/Refusals.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/pipeline/Refusals.java
@@ -119,6 +119,11 @@
 		return new Refusal(503, "SHUTTING_DOWN", "This VM is shutting down. Use another entry VM.", Verdict.NOT_RUN, 0);
 	}
 
+	public static Refusal stopped() {
+		return new Refusal(502, "STOPPED", "This VM stopped before the target's answer was complete.",
+				Verdict.MAY_HAVE_RUN, NO_RETRY_MILLIS);
+	}
+
 	public static Refusal deadlinePassed(long deadlineMillis, Verdict verdict) {
 		return new Refusal(504, "DEADLINE_PASSED",
 				"The request was not answered within its deadline of " + deadlineMillis + " ms.", verdict,
