Refuse requests that may not end before a stopping VM does

What callers saw: requests that came on kept connections late in the grace time were passed on to targets, and their connections ended without an answer at the end of it.

Cause: a stopping VM took requests until its last moment, however long they might last.

Why it works: 2.5 s after SIGTERM, when callers have newer answers of the directory, a request is accepted only if its own time limit ends before the VM ends requests (DrainWindow). It holds for requests of other VMs too.

--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/GatewayNode.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/GatewayNode.java
@@ -27,6 +27,7 @@
 import org.vanillatrestle.daemon.internal.settings.HostAndPort;
 import org.vanillatrestle.daemon.internal.settings.HttpLimits;
 import org.vanillatrestle.daemon.protocol.GatewayProtocol;
+import org.vanillatrestle.internal.gateway.DrainWindow;
 
 /**
  * One VM of a declared deployment, running in this process.
@@ -38,7 +39,7 @@
 public final class GatewayNode implements AutoCloseable {
 
 	/**
-	 * Minimum time for which an entry VM accepts requests after it has left the
+	 * Minimum time for which an entry VM accepts all requests after it has left the
 	 * directory, because callers still use earlier answers of the directory.
 	 */
 	private static final long MIN_DRAIN_MILLIS = 2_500;
@@ -153,9 +154,10 @@
 		}
 		this.closed = true;
 		EventLog.write(EventKind.STOPPING, "vm", this.settings.vm());
-		this.entry.ifPresent(EntryVm::startShutdown);
-		new ServerDrain(this.loop, this.servers).run(this.entry.isPresent() ? MIN_DRAIN_MILLIS : 0,
+		DrainWindow window = new DrainWindow(this.entry.isPresent() ? MIN_DRAIN_MILLIS : 0,
 				this.settings.bounds().graceMillis() - CLOSE_RESERVE_MILLIS);
+		this.entry.ifPresent((part) -> part.startShutdown(window));
+		new ServerDrain(this.loop, this.servers).run(window.unconditionalMillis(), window.endMillis());
 		this.closer.close();
 		EventLog.write(EventKind.STOPPED, "vm", this.settings.vm());
 	}
--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/EntryVm.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/EntryVm.java
@@ -36,6 +36,7 @@
 import org.vanillatrestle.internal.fleet.ServiceWait;
 import org.vanillatrestle.internal.fleet.TargetReport;
 import org.vanillatrestle.internal.gateway.ColdQuota;
+import org.vanillatrestle.internal.gateway.DrainWindow;
 import org.vanillatrestle.internal.gateway.GatewayTarget;
 import org.vanillatrestle.internal.gateway.GatewayTargets;
 import org.vanillatrestle.internal.gateway.RemoteEntries;
@@ -103,6 +104,10 @@
 
 	private final PartQuarantine quarantine;
 
+	private final DrainingRoute callerRoute;
+
+	private final DrainingRoute forwardRoute;
+
 	private HttpServer callerServer;
 
 	private HttpServer forwardServer;
@@ -137,6 +142,8 @@
 				this.fleet, new BodyMemory(Runtime.getRuntime().maxMemory() / RESPONSE_MEMORY_HEAP_DIVISOR),
 				this.quarantine, new TargetCrashMonitor(loop, client, this.quarantine, this.telemetry),
 				System.nanoTime()));
+		this.callerRoute = new DrainingRoute(this.dispatcher.httpRoute(false), protocol, this.telemetry);
+		this.forwardRoute = new DrainingRoute(this.dispatcher.httpRoute(true), protocol, this.telemetry);
 	}
 
 	public EntryFleet fleet() {
@@ -153,11 +160,11 @@
 	 * @throws IOException if an address can't be used
 	 */
 	public void start(Closer closer) throws IOException {
-		this.callerServer = closer.add(new HttpServer(this.loop, HttpLimits.DEFAULT,
-				new HttpRoutes(List.of(this.dispatcher.httpRoute(false)))));
+		this.callerServer = closer
+			.add(new HttpServer(this.loop, HttpLimits.DEFAULT, new HttpRoutes(List.of(this.callerRoute))));
 		this.callerServer.listen(this.settings.listen().front().orElseThrow());
-		this.forwardServer = closer.add(new HttpServer(this.loop, HttpLimits.DEFAULT,
-				new HttpRoutes(List.of(this.dispatcher.httpRoute(true)))));
+		this.forwardServer = closer
+			.add(new HttpServer(this.loop, HttpLimits.DEFAULT, new HttpRoutes(List.of(this.forwardRoute))));
 		this.forwardServer.listen(forwardAddress());
 		this.telemetry.gauge("vanillatrestle.gateway.connections", this.callerServer::connectionCount);
 		this.loop.execute(this.fleet::start);
@@ -178,10 +185,14 @@
 	}
 
 	/**
-	 * Tells the other VMs and the directory that this VM takes no new callers.
+	 * Tells the other VMs and the directory that this VM takes no new callers, and
+	 * refuses requests that may not end in time.
+	 * @param window decides which requests are still accepted
 	 */
-	public void startShutdown() {
+	public void startShutdown(DrainWindow window) {
 		this.shuttingDown = true;
+		this.callerRoute.startDrain(window);
+		this.forwardRoute.startDrain(window);
 		this.loop.execute(this.fleet::sendHeartbeat);
 	}
 
--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/GatewayError.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/GatewayError.java
@@ -40,6 +40,9 @@
 			"Engines crashed when they began to answer prompts with a part of this one. The request has not "
 					+ "run; such prompts are tried again after the given time."),
 
+	/** This VM shuts down before the request is certain to end. */
+	SHUTTING_DOWN(503, "This VM is shutting down. The request has not run; use another VM."),
+
 	/** All attempts ended with the guarantee that the request has not run. */
 	NOT_RUN(503, "The targets did not accept the request. It has not run; retry later."),
 
