Handle signals that arrive while a VM starts

What callers saw: a VM that got SIGHUP while it started ended, with what it had accepted; one that got SIGTERM then ended without draining.

Cause: the handlers were set after the start; until then the runtime ends the process.

Evidence: before, shouldSurviveASigHupDuringTheStart (a process that gets SIGHUP while it reads its settings) ended at once; after, it starts, and ends with 0 on SIGTERM (one run each). SIGTERM during the start is by reading, without a test.

Why it works: the handlers are set first and wait for the start, so that a SIGHUP reloads the settings after it and a SIGTERM drains. A SIGHUP before the settings were read needs no reload, and one while the VM stops waits for the end of the process.

--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/GatewayProcess.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/GatewayProcess.java
@@ -20,7 +20,7 @@
  * Runs a VM of a declared deployment as a process. Stops it gracefully on SIGTERM, and
  * reloads its settings on SIGHUP and when the settings file has changed.
  * <p>
- * Thread safe.
+ * Signals that arrive during the start take effect after it. Thread safe.
  */
 public final class GatewayProcess {
 
@@ -48,11 +48,13 @@
 	 * @return the exit code
 	 */
 	public static int run(Path file, SettingsFormat format, GatewayProtocol protocol, PrintStream err) {
+		GatewayProcess process = new GatewayProcess(file, format);
+		// without a handler, a SIGHUP during the start ends the process
+		Signal.handle(new Signal("HUP"), (signal) -> process.reload());
 		BoundedHandler log = LoggingSetup.applyStructured();
+		Runtime.getRuntime().addShutdownHook(new Thread(() -> process.stop(log), "vanillatrestle-shutdown"));
 		try {
-			GatewayProcess process = start(file, format, protocol);
-			GatewayNode node = process.node;
-			Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(node, log), "vanillatrestle-shutdown"));
+			process.open(protocol);
 			process.watch();
 			return 0;
 		}
@@ -79,10 +81,14 @@
 	public static GatewayProcess start(Path file, SettingsFormat format, GatewayProtocol protocol)
 			throws IOException, InvalidDocumentException {
 		GatewayProcess process = new GatewayProcess(file, format);
-		process.node = GatewayNode.start(process.readChangedSettings().orElseThrow(), protocol);
+		process.open(protocol);
 		return process;
 	}
 
+	private synchronized void open(GatewayProtocol protocol) throws IOException, InvalidDocumentException {
+		this.node = GatewayNode.start(readChangedSettings().orElseThrow(), protocol);
+	}
+
 	/**
 	 * Returns the VM.
 	 * @return the VM
@@ -91,8 +97,11 @@
 		return this.node;
 	}
 
-	private static void stop(GatewayNode node, BoundedHandler log) {
-		node.close();
+	private synchronized void stop(BoundedHandler log) {
+		if (this.node == null) {
+			return;
+		}
+		this.node.close();
 		log.close();
 		Runtime.getRuntime().halt(0);
 	}
@@ -108,7 +117,6 @@
 	}
 
 	private void watch() throws InterruptedException {
-		Signal.handle(new Signal("HUP"), (signal) -> reload());
 		while (true) {
 			TimeUnit.MILLISECONDS.sleep(FILE_CHECK_PERIOD_MILLIS);
 			reload();
@@ -116,6 +124,9 @@
 	}
 
 	synchronized void reload() {
+		if (this.node == null) {
+			return;
+		}
 		try {
 			readChangedSettings().ifPresent(this.node::reload);
 		}
--- a/vanillatrestle-daemon/src/test/java/org/vanillatrestle/daemon/GatewayProcessTests.java
+++ b/vanillatrestle-daemon/src/test/java/org/vanillatrestle/daemon/GatewayProcessTests.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 
 import org.junit.jupiter.api.Test;
@@ -16,6 +17,7 @@
 import org.vanillatrestle.RegionId;
 import org.vanillatrestle.VmId;
 import org.vanillatrestle.daemon.internal.settings.HostAndPort;
+import sun.misc.Signal;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -46,6 +48,27 @@
 		}
 	}
 
+	@Test
+	void shouldSurviveASigHupDuringTheStart(@TempDir Path folder) throws Exception {
+		Path file = Files.writeString(folder.resolve("settings"), "first");
+		Process process = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-cp",
+				System.getProperty("java.class.path"), RaisingProcess.class.getName(), file.toString(),
+				Integer.toString(freePort()))
+			.redirectErrorStream(true)
+			.redirectOutput(folder.resolve("log").toFile())
+			.start();
+		try {
+			assertThat(process.waitFor(5, TimeUnit.SECONDS)).as("the process ended").isFalse();
+			assertThat(folder.resolve("log")).content().contains("\"event\":\"started\"");
+			process.destroy();
+			assertThat(process.waitFor(5, TimeUnit.SECONDS)).isTrue();
+			assertThat(process.exitValue()).isZero();
+		}
+		finally {
+			process.destroyForcibly();
+		}
+	}
+
 	private GatewaySettings settings(String text, int port) throws InvalidDocumentException {
 		this.reads.incrementAndGet();
 		if ("broken".equals(text)) {
@@ -66,4 +89,18 @@
 		}
 	}
 
+	/**
+	 * Gets SIGHUP while it reads its settings.
+	 */
+	interface RaisingProcess {
+
+		static void main(String[] args) {
+			System.exit(GatewayProcess.run(Path.of(args[0]), (bytes) -> {
+				Signal.raise(new Signal("HUP"));
+				return new GatewayProcessTests().settings("first", Integer.parseInt(args[1]));
+			}, null, System.err));
+		}
+
+	}
+
 }
