Leave half of a short grace time for requests in progress

What callers saw: with a grace time shorter than the time in which a stopping VM accepts everything, requests that came at its end were ended with 502.

Cause: the VM looked once, at the end of that time, whether a request was in progress.

Why it works: everything is accepted for half of the time at most, and the servers close at the first moment without a request, looked for each 10 ms. With a grace time of 8 s nothing changes but the period.

--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/GatewayNode.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/GatewayNode.java
@@ -39,10 +39,10 @@
 public final class GatewayNode implements AutoCloseable {
 
 	/**
-	 * Minimum time for which an entry VM accepts all requests after it has left the
-	 * directory, because callers still use earlier answers of the directory.
+	 * Time for which an entry VM accepts all requests after it has left the directory,
+	 * because callers still use earlier answers of the directory.
 	 */
-	private static final long MIN_DRAIN_MILLIS = 2_500;
+	private static final long ACCEPT_ALL_MILLIS = 2_500;
 
 	/**
 	 * Part of the grace time that is reserved for closing sockets and files.
@@ -154,8 +154,10 @@
 		}
 		this.closed = true;
 		EventLog.write(EventKind.STOPPING, "vm", this.settings.vm());
-		DrainWindow window = new DrainWindow(this.entry.isPresent() ? MIN_DRAIN_MILLIS : 0,
-				this.settings.bounds().graceMillis() - CLOSE_RESERVE_MILLIS);
+		// half of a short grace time is left for what came in the other half
+		long endMillis = this.settings.bounds().graceMillis() - CLOSE_RESERVE_MILLIS;
+		DrainWindow window = new DrainWindow(this.entry.isPresent() ? Math.min(ACCEPT_ALL_MILLIS, endMillis / 2) : 0,
+				endMillis);
 		this.entry.ifPresent((part) -> part.startShutdown(window));
 		new ServerDrain(this.loop, this.servers).run(window.unconditionalMillis(), window.endMillis());
 		this.closer.close();
--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/http/ServerDrain.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/http/ServerDrain.java
@@ -18,7 +18,7 @@
  */
 public final class ServerDrain {
 
-	private static final long POLL_MILLIS = 50;
+	private static final long POLL_MILLIS = 10;
 
 	/**
 	 * Maximum time for the last answers to be written and for peers to close.
