--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/EntryVm.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/EntryVm.java
@@ -37,6 +37,7 @@
 import org.vanillatrestle.internal.fleet.ServiceWait;
 import org.vanillatrestle.internal.fleet.TargetReport;
 import org.vanillatrestle.internal.gateway.ColdQuota;
+import org.vanillatrestle.internal.gateway.DrainWindow;
 import org.vanillatrestle.internal.gateway.GatewayTarget;
 import org.vanillatrestle.internal.gateway.GatewayTargets;
 import org.vanillatrestle.internal.gateway.RemoteEntries;
@@ -104,6 +105,10 @@
 
 	private final PartQuarantine quarantine;
 
+	private final DrainingRoute callerRoute;
+
+	private final DrainingRoute forwardRoute;
+
 	private HttpServer callerServer;
 
 	private HttpServer forwardServer;
@@ -141,6 +146,8 @@
 				this.fleet, new BodyMemory(Runtime.getRuntime().maxMemory() / RESPONSE_MEMORY_HEAP_DIVISOR),
 				this.quarantine, new TargetCrashMonitor(loop, client, this.quarantine, this.telemetry),
 				System.nanoTime()));
+		this.callerRoute = new DrainingRoute(this.dispatcher.httpRoute(false), protocol, this.telemetry);
+		this.forwardRoute = new DrainingRoute(this.dispatcher.httpRoute(true), protocol, this.telemetry);
 	}
 
 	public EntryFleet fleet() {
@@ -157,11 +164,11 @@
 	 * @throws IOException if an address can't be used
 	 */
 	public void start(Closer closer) throws IOException {
-		this.callerServer = closer.add(new HttpServer(this.loop, HttpLimits.DEFAULT,
-				new HttpRoutes(List.of(this.dispatcher.httpRoute(false)))));
+		this.callerServer = closer
+			.add(new HttpServer(this.loop, HttpLimits.DEFAULT, new HttpRoutes(List.of(this.callerRoute))));
 		this.callerServer.listen(this.settings.listen().front().orElseThrow());
-		this.forwardServer = closer.add(new HttpServer(this.loop, HttpLimits.DEFAULT,
-				new HttpRoutes(List.of(this.dispatcher.httpRoute(true)))));
+		this.forwardServer = closer
+			.add(new HttpServer(this.loop, HttpLimits.DEFAULT, new HttpRoutes(List.of(this.forwardRoute))));
 		this.forwardServer.listen(forwardAddress());
 		this.telemetry.gauge("vanillatrestle.gateway.connections", this.callerServer::connectionCount);
 		this.telemetry.gauge("vanillatrestle.gateway.data.centre.vms", () -> this.dataCentreVmCount);
@@ -183,21 +190,23 @@
 	}
 
 	/**
-	 * Starts a graceful shutdown.
+	 * Tells the other VMs and the directory that this VM takes no new callers, and
+	 * refuses requests that may not end in time.
+	 * @param window decides which requests are still accepted
 	 */
-	public void startShutdown() {
+	public void startShutdown(DrainWindow window) {
 		this.shuttingDown = true;
-		this.callerServer.startShutdown();
-		this.forwardServer.startShutdown();
+		this.callerRoute.startDrain(window);
+		this.forwardRoute.startDrain(window);
 		this.loop.execute(this.fleet::sendHeartbeat);
 	}
 
 	/**
-	 * Returns the number of requests in progress.
-	 * @return the number
+	 * Returns the servers for requests of callers and of other VMs.
+	 * @return the servers, once they are started
 	 */
-	public int busyCount() {
-		return this.callerServer.activeRequestCount() + this.forwardServer.activeRequestCount();
+	public List<HttpServer> servers() {
+		return List.of(this.callerServer, this.forwardServer);
 	}
 
 	private EntryReport entryReport() {
--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/http/CallerConnection.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/http/CallerConnection.java
@@ -9,8 +9,11 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelOutboundBuffer;
+import io.netty.channel.socket.DuplexChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpObject;
@@ -23,6 +26,7 @@
 import io.netty.handler.codec.http.TooLongHttpLineException;
 import io.netty.util.ReferenceCountUtil;
 import io.netty.util.concurrent.Future;
+import org.vanillatrestle.daemon.internal.pipeline.AnswerSink;
 import org.vanillatrestle.daemon.internal.pipeline.CallerRequest;
 import org.vanillatrestle.daemon.internal.pipeline.Refusal;
 import org.vanillatrestle.daemon.internal.pipeline.Refusals;
@@ -32,14 +36,23 @@
  * Handles the requests of one connection sequentially and passes each to the routes once
  * its body is complete.
  * <p>
- * Memory is bounded: the settings limit the size of the head and of the body, and
- * {@link #MAX_PIPELINED_PARTS} limits the number of buffered parts of pipelined requests.
- * Must be called on the VM's event loop.
+ * A request is active until its answer has been written to the socket. No request is read
+ * after an answer that announced the close of the connection. Memory is bounded: the
+ * settings limit the size of the head and of the body, and {@link #MAX_PIPELINED_PARTS}
+ * limits the number of buffered parts of pipelined requests. Must be called on the VM's
+ * event loop.
  */
 final class CallerConnection extends ChannelInboundHandlerAdapter {
 
 	private static final int MAX_PIPELINED_PARTS = 32;
 
+	/**
+	 * Maximum time to wait for the peer to close the connection after the last answer, a
+	 * few round trips between regions. A socket closed with unread input is reset, which
+	 * may destroy an answer that the peer has not read yet.
+	 */
+	private static final long LINGER_MILLIS = 500;
+
 	private final HttpLimits limits;
 
 	private final BodyMemory memory;
@@ -62,7 +75,13 @@
 
 	private boolean requestActive;
 
-	private boolean rejected;
+	private boolean answerPassed;
+
+	private boolean closing;
+
+	private boolean stopping;
+
+	private HttpAnswerSink sink;
 
 	private ConnectionListener listener;
 
@@ -89,7 +108,7 @@
 			ReferenceCountUtil.release(message);
 			return;
 		}
-		if (this.requestActive) {
+		if (this.requestActive && !this.closing) {
 			this.pipelinedParts.add(http);
 			context.channel().config().setAutoRead(this.pipelinedParts.size() < MAX_PIPELINED_PARTS);
 			return;
@@ -98,7 +117,7 @@
 	}
 
 	private void read(ChannelHandlerContext context, HttpObject http) {
-		if (this.rejected) {
+		if (this.closing) {
 			ReferenceCountUtil.release(http);
 			return;
 		}
@@ -139,7 +158,7 @@
 
 	private void readBody(ChannelHandlerContext context, HttpContent content) {
 		try {
-			if (this.rejected || this.head == null) {
+			if (this.closing || this.head == null) {
 				return;
 			}
 			if (!append(context, content.content())) {
@@ -184,34 +203,88 @@
 		this.head = null;
 		this.requestActive = true;
 		this.activeRequests.incrementAndGet();
-		boolean keepAlive = HttpUtil.isKeepAlive(request) && !this.shuttingDown.getAsBoolean();
-		HttpAnswerSink sink = new HttpAnswerSink(context, request.protocolVersion(), keepAlive,
-				() -> answerCompleted(context));
-		ConnectionListener routeListener = serve(request, bytes, sink);
-		this.listener = this.requestActive ? routeListener : null;
+		this.answerPassed = false;
+		this.sink = newSink(context, request.protocolVersion(), HttpUtil.isKeepAlive(request));
+		ConnectionListener routeListener = serve(request, bytes, this.sink);
+		this.listener = this.answerPassed ? null : routeListener;
 	}
 
-	private ConnectionListener serve(HttpRequest request, byte[] bytes, HttpAnswerSink sink) {
+	private HttpAnswerSink newSink(ChannelHandlerContext context, HttpVersion version, boolean keepAlive) {
+		return new HttpAnswerSink(context, version, keepAlive, this.shuttingDown,
+				(written, closes) -> answerCompleted(context, written, closes));
+	}
+
+	private ConnectionListener serve(HttpRequest request, byte[] bytes, AnswerSink answerSink) {
+		if (this.stopping) {
+			answerSink.refuse(Refusals.shuttingDown());
+			return null;
+		}
 		String uri = request.uri();
 		int queryStart = uri.indexOf('?');
 		String path = (queryStart < 0) ? uri : uri.substring(0, queryStart);
 		String query = (queryStart < 0) ? "" : uri.substring(queryStart + 1);
 		if (!path.startsWith("/")) {
-			sink.refuse(Refusals.malformedHttp("the path must begin with /"));
+			answerSink.refuse(Refusals.malformedHttp("the path must begin with /"));
 			return null;
 		}
 		return this.routes.serve(new CallerRequest(request.method().name(), path, query, request.headers(), bytes),
-				sink);
+				answerSink);
 	}
 
-	private void answerCompleted(ChannelHandlerContext context) {
+	private void answerCompleted(ChannelHandlerContext context, ChannelFuture written, boolean closesConnection) {
 		releaseMemory();
-		markIdle();
+		this.answerPassed = true;
 		this.listener = null;
+		this.sink = null;
+		this.closing = closesConnection || this.stopping;
+		if (!written.isDone()) {
+			closeWhenStalled(context, unwrittenBytes(context));
+		}
+		written.addListener((done) -> answerWritten(context, done.isSuccess()));
+	}
+
+	private void answerWritten(ChannelHandlerContext context, boolean succeeded) {
+		markIdle();
+		if (!succeeded || !context.channel().isActive()) {
+			context.close();
+			return;
+		}
+		if (this.closing) {
+			closeAfterPeer(context);
+			return;
+		}
 		startIdleTimer(context);
 		context.executor().execute(() -> readPipelined(context));
 	}
 
+	private void closeWhenStalled(ChannelHandlerContext context, long bytesBefore) {
+		startTimer(context, this.limits.idleTimeoutMillis(), () -> {
+			long bytes = unwrittenBytes(context);
+			if (bytes >= bytesBefore) {
+				context.close();
+				return;
+			}
+			closeWhenStalled(context, bytes);
+		});
+	}
+
+	private static long unwrittenBytes(ChannelHandlerContext context) {
+		ChannelOutboundBuffer output = context.channel().unsafe().outboundBuffer();
+		return (output != null) ? output.totalPendingWriteBytes() - output.currentProgress() : 0;
+	}
+
+	private void closeAfterPeer(ChannelHandlerContext context) {
+		this.pipelinedParts.forEach(ReferenceCountUtil::release);
+		this.pipelinedParts.clear();
+		if (!(context.channel() instanceof DuplexChannel channel)) {
+			context.close();
+			return;
+		}
+		startTimer(context, LINGER_MILLIS, context::close);
+		channel.config().setAutoRead(true);
+		channel.shutdownOutput();
+	}
+
 	private void markIdle() {
 		if (this.requestActive) {
 			this.requestActive = false;
@@ -230,12 +303,11 @@
 
 	private void reject(ChannelHandlerContext context, Refusal refusal) {
 		stopTimer();
-		this.rejected = true;
+		this.closing = true;
 		this.head = null;
 		releaseBody();
 		releaseMemory();
-		new HttpAnswerSink(context, HttpVersion.HTTP_1_1, false, () -> {
-		}).refuse(refusal);
+		newSink(context, HttpVersion.HTTP_1_1, false).refuse(refusal);
 	}
 
 	private void startIdleTimer(ChannelHandlerContext context) {
@@ -264,6 +336,33 @@
 		this.reservedBytes = 0;
 	}
 
+	@Override
+	public void userEventTriggered(ChannelHandlerContext context, Object event) throws Exception {
+		if (event instanceof ServerStop stop) {
+			stop(context, stop);
+			return;
+		}
+		super.userEventTriggered(context, event);
+	}
+
+	private void stop(ChannelHandlerContext context, ServerStop stop) {
+		this.stopping = true;
+		if (!this.requestActive) {
+			if (!this.closing && this.head == null) {
+				context.close();
+			}
+			return;
+		}
+		if (this.answerPassed) {
+			stop.countUnwrittenAnswer();
+			this.closing = true;
+			return;
+		}
+		stop.countEndedRequest();
+		endListener();
+		this.sink.stop();
+	}
+
 	@Override
 	public void channelWritabilityChanged(ChannelHandlerContext context) {
 		if (this.listener != null) {
@@ -279,6 +378,10 @@
 		releaseMemory();
 		this.pipelinedParts.forEach(ReferenceCountUtil::release);
 		this.pipelinedParts.clear();
+		endListener();
+	}
+
+	private void endListener() {
 		if (this.listener != null) {
 			ConnectionListener disconnected = this.listener;
 			this.listener = null;
--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/http/HttpAnswerSink.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/http/HttpAnswerSink.java
@@ -1,5 +1,7 @@
 package org.vanillatrestle.daemon.internal.http;
 
+import java.util.function.BooleanSupplier;
+
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
@@ -22,11 +24,13 @@
 import org.vanillatrestle.daemon.internal.pipeline.AnswerSink;
 import org.vanillatrestle.daemon.internal.pipeline.Refusal;
 import org.vanillatrestle.daemon.internal.pipeline.RefusalWriter;
+import org.vanillatrestle.daemon.internal.pipeline.Refusals;
 
 /**
  * Writes the answer to one request to the caller's connection.
  * <p>
- * Must be called on the VM's event loop. {@link #abort()} resets the connection without
+ * Must be called on the VM's event loop. Whether the connection is kept is decided when
+ * the head of the answer is written. {@link #abort()} resets the connection without
  * writing a final chunk.
  */
 final class HttpAnswerSink implements AnswerSink {
@@ -37,19 +41,30 @@
 
 	private final boolean keepAlive;
 
-	private final Runnable completionCallback;
+	private final BooleanSupplier shuttingDown;
+
+	private final CompletionListener listener;
+
+	private boolean closesConnection;
+
+	private boolean headWritten;
 
 	private boolean complete;
 
-	HttpAnswerSink(ChannelHandlerContext context, HttpVersion version, boolean keepAlive, Runnable completionCallback) {
+	HttpAnswerSink(ChannelHandlerContext context, HttpVersion version, boolean keepAlive, BooleanSupplier shuttingDown,
+			CompletionListener listener) {
 		this.context = context;
 		this.version = version;
 		this.keepAlive = keepAlive;
-		this.completionCallback = completionCallback;
+		this.shuttingDown = shuttingDown;
+		this.listener = listener;
 	}
 
 	@Override
 	public void answer(AnswerHead head, byte[] body) {
+		if (this.complete) {
+			return;
+		}
 		FullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1,
 				HttpResponseStatus.valueOf(head.status()), Unpooled.wrappedBuffer(body));
 		response.headers().set(head.headers());
@@ -73,11 +88,13 @@
 			HttpUtil.setTransferEncodingChunked(response, true);
 		}
 		setConnectionHeader(response);
+		this.headWritten = true;
 		this.context.writeAndFlush(response);
 	}
 
 	private void setConnectionHeader(HttpResponse response) {
-		if (!this.keepAlive) {
+		this.closesConnection = !this.keepAlive || this.shuttingDown.getAsBoolean();
+		if (this.closesConnection) {
 			response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
 		}
 	}
@@ -101,10 +118,7 @@
 
 	private void finish(ChannelFuture written) {
 		this.complete = true;
-		if (!this.keepAlive) {
-			written.addListener(ChannelFutureListener.CLOSE);
-		}
-		this.completionCallback.run();
+		this.listener.answerCompleted(written, this.closesConnection);
 	}
 
 	@Override
@@ -120,6 +134,23 @@
 		channel.close();
 	}
 
+	/**
+	 * Ends the answer because the VM stops: with an error, or by closing the connection
+	 * after the parts that were sent.
+	 */
+	void stop() {
+		if (!this.headWritten) {
+			refuse(Refusals.stopped());
+			return;
+		}
+		if (HttpVersion.HTTP_1_0.equals(this.version)) {
+			abort();
+			return;
+		}
+		this.complete = true;
+		this.context.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE);
+	}
+
 	@Override
 	public void refuse(Refusal refusal, AnswerHead head) {
 		answer(head, RefusalWriter.body(refusal));
@@ -130,4 +161,18 @@
 		return this.context.channel().isWritable();
 	}
 
+	/**
+	 * Notified once, when the whole answer has been passed to the channel.
+	 */
+	interface CompletionListener {
+
+		/**
+		 * Called when the last byte of the answer has been passed to the channel.
+		 * @param written completes when that byte has been written to the socket
+		 * @param closesConnection whether the answer announced that the connection closes
+		 */
+		void answerCompleted(ChannelFuture written, boolean closesConnection);
+
+	}
+
 }
