Tell the forwarding VM that a stopping VM has sent its request to no target

A VM that shuts down refuses forwarded requests like those of callers; without saying which targets were reached its refusal would cost the retry budget of the VM that forwarded. Both kinds of errors for unsent requests now go the same way.

--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/DrainingRoute.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/DrainingRoute.java
@@ -20,14 +20,17 @@
 
 	private final HttpRoute route;
 
+	private final boolean forwarded;
+
 	private final GatewayProtocol protocol;
 
 	private final RequestTelemetry telemetry;
 
 	private volatile Drain drain;
 
-	DrainingRoute(HttpRoute route, GatewayProtocol protocol, RequestTelemetry telemetry) {
+	DrainingRoute(HttpRoute route, boolean forwarded, GatewayProtocol protocol, RequestTelemetry telemetry) {
 		this.route = route;
+		this.forwarded = forwarded;
 		this.protocol = protocol;
 		this.telemetry = telemetry;
 	}
@@ -52,7 +55,7 @@
 		if (current.window().accepts(elapsedMillis, details.deadlineMillis())) {
 			return this.route.serve(request, sink);
 		}
-		GatewayError.SHUTTING_DOWN.respond(sink, 0);
+		GatewayError.SHUTTING_DOWN.respondUnsent(sink, 0, this.forwarded);
 		this.telemetry.recordCompletion("none", EventKind.REFUSED, GatewayError.SHUTTING_DOWN.name(), 0);
 		this.telemetry.log(EventKind.REFUSED, "request", details.requestId(), "reason",
 				GatewayError.SHUTTING_DOWN.name(), "drainMillis", elapsedMillis, "leftMillis",
--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/EntryVm.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/EntryVm.java
@@ -146,8 +146,8 @@
 				this.fleet, new BodyMemory(Runtime.getRuntime().maxMemory() / RESPONSE_MEMORY_HEAP_DIVISOR),
 				this.quarantine, new TargetCrashMonitor(loop, client, this.quarantine, this.telemetry),
 				System.nanoTime()));
-		this.callerRoute = new DrainingRoute(this.dispatcher.httpRoute(false), protocol, this.telemetry);
-		this.forwardRoute = new DrainingRoute(this.dispatcher.httpRoute(true), protocol, this.telemetry);
+		this.callerRoute = new DrainingRoute(this.dispatcher.httpRoute(false), false, protocol, this.telemetry);
+		this.forwardRoute = new DrainingRoute(this.dispatcher.httpRoute(true), true, protocol, this.telemetry);
 	}
 
 	public EntryFleet fleet() {
--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/GatewayError.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/GatewayError.java
@@ -3,6 +3,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.Collection;
 import java.util.Locale;
+import java.util.Set;
 
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import com.fasterxml.jackson.databind.node.ObjectNode;
@@ -82,6 +83,20 @@
 		respond(sink, retryAfterMillis, new DefaultHttpHeaders());
 	}
 
+	/**
+	 * Sends this error for a request that was not sent to any target.
+	 * @param sink receives the response
+	 * @param retryAfterMillis the time after which to retry, -1 to omit it
+	 * @param forwarded whether another VM forwarded the request
+	 */
+	void respondUnsent(AnswerSink sink, long retryAfterMillis, boolean forwarded) {
+		if (forwarded) {
+			respondToVm(sink, retryAfterMillis, Set.of(), true);
+			return;
+		}
+		respond(sink, retryAfterMillis);
+	}
+
 	/**
 	 * Sends this error to the VM that forwarded the request.
 	 * @param sink receives the response
--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/RequestDispatcher.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/RequestDispatcher.java
@@ -169,12 +169,7 @@
 	private ConnectionListener respondWithError(GatewayError error, CallDetails details, AnswerSink sink,
 			boolean forwarded) {
 		long retryMillis = (error.status() == 503) ? StartupWait.retryMillis(this.context.uptimeMillis()) : -1;
-		if (forwarded) {
-			error.respondToVm(sink, retryMillis, Set.of(), true);
-		}
-		else {
-			error.respond(sink, retryMillis);
-		}
+		error.respondUnsent(sink, retryMillis, forwarded);
 		this.context.telemetry().recordCompletion("none", EventKind.REFUSED, error.name(), 0);
 		this.context.telemetry().log(EventKind.REFUSED, "request", details.requestId(), "reason", error.name());
 		return null;
