Write the log while a VM shuts down

What operators saw: nothing of a VM after the line "stopping": no request that was refused, failed or cut during the drain, nor the line "stopped".

Cause: the logging backend has a shutdown hook of its own, which begins with that of the VM and removes and closes all handlers.

Evidence: before, the log of the process in GatewayProcessTests ended with "stopping", with an exit code of 0; after, it has "drained" and "stopped" (one run each).

Why it works: the backend's reset does nothing; the handler is closed last, by the VM's own hook, as before.

--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/logging/LoggingSetup.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/logging/LoggingSetup.java
@@ -4,6 +4,7 @@
 import java.util.logging.Formatter;
 import java.util.logging.Handler;
 import java.util.logging.Level;
+import java.util.logging.LogManager;
 import java.util.logging.LogRecord;
 import java.util.logging.Logger;
 import java.util.logging.StreamHandler;
@@ -31,6 +32,7 @@
 		// prevents java.util.logging from reading its default configuration and creating
 		// the handlers named there
 		System.setProperty("java.util.logging.config.class", NoConfiguration.class.getName());
+		System.setProperty("java.util.logging.manager", ShutdownLogManager.class.getName());
 		// prevents JBoss Logging and Netty from searching for other backends
 		System.setProperty("org.jboss.logging.provider", "jdk");
 		InternalLoggerFactory.setDefaultFactory(JdkLoggerFactory.INSTANCE);
@@ -102,6 +104,19 @@
 
 	}
 
+	/**
+	 * Keeps the handlers while the process shuts down. By default they are removed when
+	 * the shutdown begins, so that nothing is logged of the requests still in progress.
+	 */
+	public static final class ShutdownLogManager extends LogManager {
+
+		@Override
+		public void reset() {
+			// handlers are replaced by LoggingSetup and closed by their owner
+		}
+
+	}
+
 	/**
 	 * An empty logging configuration: {@link LoggingSetup} configures what is needed.
 	 */
--- a/vanillatrestle-daemon/src/test/java/org/vanillatrestle/daemon/GatewayProcessTests.java
+++ b/vanillatrestle-daemon/src/test/java/org/vanillatrestle/daemon/GatewayProcessTests.java
@@ -63,6 +63,8 @@
 			process.destroy();
 			assertThat(process.waitFor(5, TimeUnit.SECONDS)).isTrue();
 			assertThat(process.exitValue()).isZero();
+			assertThat(folder.resolve("log")).content()
+				.contains("\"requestsEnded\":0,\"answersUnwritten\":0,\"answersCut\":0", "\"event\":\"stopped\"");
 		}
 		finally {
 			process.destroyForcibly();
