Bar a region from a request only after a target there rejected it

With the retries of callers got 502 or 503 for requests that another VM of a region could have served: one target there broke off, or one VM had no capacity, and the whole region was barred for the request.

Cause: every error but NOT_RUN was taken to say that no other target of the region could take the request. Now only a rejection by a target does, if no other target is left. PlatformRetryBoundTests.shouldTryAnotherTargetOfARegionWhereOneBrokeOff got 502 before and 200 after; the other tests of the class pass.

--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/AttemptHistory.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/AttemptHistory.java
@@ -100,20 +100,24 @@
 	}
 
 	/**
-	 * Notes the error of a VM of another region. The region gets the request again only
-	 * if another target there could take it, then also by way of the same VM.
+	 * Notes the error of a VM of another region. If a target there rejected the request,
+	 * the region gets it again only if another target could take it, then also by way of
+	 * the same VM. Any other error says nothing about the region's other VMs.
 	 * @param choice the VM and its region
 	 * @param error the error
 	 */
 	void recordRemoteError(RemoteEntries.RemoteChoice choice, RemoteError error) {
 		Set<TargetId> reached = error.reachedTargets().orElse(Set.of());
 		excludeTargets(reached);
-		if (!error.hasMoreTargets()) {
-			this.exhaustedRegions.add(choice.region());
+		if (reached.isEmpty() || error.verdict() != Verdict.NOT_RUN) {
+			return;
 		}
-		else if (!reached.isEmpty()) {
+		if (error.hasMoreTargets()) {
 			this.triedVms.remove(choice.vm());
 		}
+		else {
+			this.exhaustedRegions.add(choice.region());
+		}
 	}
 
 	/**
