--- a/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/gateway/RetryBudget.java
+++ b/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/gateway/RetryBudget.java
@@ -31,7 +31,7 @@
 	 * The fraction of the allowance that is divided. The rest is a reserve for a data
 	 * centre whose VMs don't all know of each other.
 	 */
-	private static final double DIVIDED_ALLOWANCE_FRACTION = 0.75;
+	private static final double DIVIDED_ALLOWANCE_FRACTION = 0.6;
 
 	/**
 	 * Time in which the VMs of a data centre learn of a new one.
--- a/vanillatrestle-core/src/test/java/org/vanillatrestle/internal/gateway/RetryBudgetFleetTests.java
+++ b/vanillatrestle-core/src/test/java/org/vanillatrestle/internal/gateway/RetryBudgetFleetTests.java
@@ -17,9 +17,9 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 /**
- * Simulates VMs that share a budget while they start, restart and are cut off from all
- * others one at a time, and while callers move from one VM to another. Guards against
- * retries beyond the bound, summed over all VMs.
+ * Simulates VMs that share a budget while they start, restart and lose sight of each
+ * other, and while callers move from one VM to another. Guards against retries beyond the
+ * bound, summed over all VMs.
  */
 class RetryBudgetFleetTests {
 
@@ -72,7 +72,8 @@
 
 		private int upFromMillis;
 
-		private boolean cutOff;
+		// VMs of different groups don't hear of each other
+		private int group;
 
 		private double load = 1;
 
@@ -90,7 +91,7 @@
 
 		void hear(List<Vm> vms, int millis) {
 			vms.stream()
-				.filter((vm) -> vm.dataCentre == this.dataCentre && vm.upFromMillis <= millis && !vm.cutOff)
+				.filter((vm) -> vm.dataCentre == this.dataCentre && vm.group == this.group && vm.upFromMillis <= millis)
 				.forEach((vm) -> this.heardMillis.put(vm.id, millis));
 			this.heardMillis.values().removeIf((heard) -> millis - heard > RETENTION_MILLIS);
 			this.budget.setMembers(new TreeSet<>(this.heardMillis.keySet()), millis * MILLI_NANOS);
@@ -143,9 +144,7 @@
 				disturb(millis);
 			}
 			if (millis % BEAT_MILLIS == 0) {
-				this.vms.stream()
-					.filter((vm) -> vm.upFromMillis < millis && !vm.cutOff)
-					.forEach((vm) -> vm.hear(this.vms, millis));
+				this.vms.stream().filter((vm) -> vm.upFromMillis < millis).forEach((vm) -> vm.hear(this.vms, millis));
 			}
 			this.requests[millis + 1] = this.requests[millis];
 			this.retries[millis + 1] = this.retries[millis];
@@ -160,17 +159,13 @@
 				case 0 -> any().start(millis + this.random.nextInt(3_000));
 				case 1 -> this.vms.forEach((vm) -> vm.start(millis + this.random.nextInt(1_000)));
 				case 2 -> join(millis);
-				case 3 -> cutOff(any());
-				case 4 -> cutOff(null);
+				case 3 -> this.vms.forEach((vm) -> vm.group = this.random.nextInt(3));
+				case 4 -> this.vms.forEach((vm) -> vm.group = 0);
 				case 5 -> this.vms.forEach((vm) -> vm.load = Math.max(0.05, this.random.nextInt(3) / 2.0));
 				default -> reject(this.random.nextBoolean() ? 0.9 : 0.05);
 			}
 		}
 
-		private void cutOff(Vm cut) {
-			this.vms.forEach((vm) -> vm.cutOff = vm == cut);
-		}
-
 		private void reject(double share) {
 			this.rejectedShare = share;
 		}
