Log and count stalled attempts, cut answers and their pace

The logs named TARGET_FAILED for an answer that was cut, but not why nothing took over, whether other answers of the silent target went on, nor whether a VM behind another was left by the VM in front or by the caller. New: attempt-stalled with the target's own silence, answer-cut with its cause and the waits at that time, parts and mean pause of each answer, the reason FORWARDING_VM of caller-gone, and counts of stalls, cuts and outcomes by stated output. No decision is changed.

--- a/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/gateway/GatewayTarget.java
+++ b/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/gateway/GatewayTarget.java
@@ -45,6 +45,8 @@
 
 	private long startedNanos;
 
+	private long lastProgressNanos;
+
 	private InFlightLoad own;
 
 	private InFlightLoad others;
@@ -52,6 +54,7 @@
 	GatewayTarget(TargetReport report, long nowNanos) {
 		this.forcedColdUntilNanos = nowNanos;
 		this.pausedUntilNanos = nowNanos;
+		this.lastProgressNanos = nowNanos;
 		this.own = new InFlightLoad(report.target(), 0, 0, 0);
 		this.others = this.own;
 		update(report, nowNanos);
@@ -166,6 +169,19 @@
 		}
 	}
 
+	void recordProgress(long nowNanos) {
+		this.lastProgressNanos = nowNanos;
+	}
+
+	/**
+	 * Returns the time since any answer of the target last made progress at this VM.
+	 * @param nowNanos the monotonic time
+	 * @return the time in milliseconds
+	 */
+	public long silentMillis(long nowNanos) {
+		return (nowNanos - this.lastProgressNanos) / NANOS_PER_MILLI;
+	}
+
 	public TargetReport report() {
 		return this.report;
 	}
--- a/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/gateway/InFlightRequest.java
+++ b/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/gateway/InFlightRequest.java
@@ -111,6 +111,14 @@
 		this.load = this.load.minus(readLoad);
 	}
 
+	/**
+	 * Notes that a part of the answer has arrived.
+	 * @param nowNanos the monotonic time
+	 */
+	public void recordProgress(long nowNanos) {
+		this.target.recordProgress(nowNanos);
+	}
+
 	/**
 	 * Notes that the answer's stream has resumed after a pause.
 	 * @param millis the length of the pause in milliseconds
--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/RequestTelemetry.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/RequestTelemetry.java
@@ -12,6 +12,7 @@
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
 import org.vanillatrestle.daemon.internal.logging.EventKind;
 import org.vanillatrestle.daemon.internal.logging.EventLog;
+import org.vanillatrestle.internal.gateway.RequestShape;
 
 /**
  * Logs the events of requests and records metrics of their outcomes.
@@ -27,6 +28,8 @@
 	private static final Duration[] DURATION_BUCKETS = { Duration.ofMillis(20), Duration.ofMillis(100),
 			Duration.ofMillis(400), Duration.ofMillis(1_200), Duration.ofSeconds(3), Duration.ofSeconds(12) };
 
+	private static final int[] OUTPUT_TOKEN_BUCKETS = { 50, 200, 400, 800 };
+
 	private final PrometheusMeterRegistry registry = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
 
 	private final long[] currentSeconds = new long[EventKind.values().length];
@@ -117,6 +120,56 @@
 			.increment();
 	}
 
+	/**
+	 * Counts an attempt that makes no progress.
+	 * @param service the service's name
+	 * @param silent what is silent: {@code request} if other answers of the target make
+	 * progress, {@code target} if none does at this VM, {@code vm} for another VM
+	 */
+	void countStall(String service, String silent) {
+		Counter.builder("vanillatrestle.gateway.stalls")
+			.tags("service", service, "silent", silent)
+			.register(this.registry)
+			.increment();
+	}
+
+	/**
+	 * Counts an answer that was broken off after it had begun.
+	 * @param service the service's name
+	 * @param cause why it was not continued
+	 */
+	void countCut(String service, String cause) {
+		Counter.builder("vanillatrestle.gateway.answers.cut")
+			.tags("service", service, "cause", cause)
+			.register(this.registry)
+			.increment();
+	}
+
+	/**
+	 * Counts a completed request of a model by its size.
+	 * @param shape the request
+	 * @param outcome the outcome
+	 */
+	void recordSize(RequestShape shape, EventKind outcome) {
+		if (shape.service().engine().isEmpty()) {
+			return;
+		}
+		Counter.builder("vanillatrestle.gateway.requests.by.output")
+			.tags("service", shape.service().name().value(), "outcome", outcome.label(), "maxOutputTokens",
+					outputBucket(shape))
+			.register(this.registry)
+			.increment();
+	}
+
+	private static String outputBucket(RequestShape shape) {
+		for (int limit : OUTPUT_TOKEN_BUCKETS) {
+			if (shape.maxOutputTokens() <= limit) {
+				return "<=" + limit;
+			}
+		}
+		return "more";
+	}
+
 	/**
 	 * Registers a gauge whose value is read whenever the metrics are scraped.
 	 * @param name the metric's name
--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/ResponseTiming.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/ResponseTiming.java
@@ -15,6 +15,8 @@
 
 	private long longestPauseMillis;
 
+	private int parts;
+
 	/**
 	 * Records that a part was sent.
 	 * @param atMillis the time since the request arrived
@@ -27,6 +29,7 @@
 			this.firstPartMillis = atMillis;
 		}
 		this.lastPartMillis = atMillis;
+		this.parts++;
 	}
 
 	boolean hasFirstPart() {
@@ -45,6 +48,18 @@
 		return this.longestPauseMillis;
 	}
 
+	int parts() {
+		return this.parts;
+	}
+
+	/**
+	 * Returns the average time between two parts.
+	 * @return the time in milliseconds, -1 if fewer than two parts were sent
+	 */
+	long meanPauseMillis() {
+		return (this.parts < 2) ? NONE : (this.lastPartMillis - this.firstPartMillis) / (this.parts - 1);
+	}
+
 	/**
 	 * Checks whether the response met the objectives of its route.
 	 * @param objectiveMillis the time objective for the first part
--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/RoutedAttempt.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/RoutedAttempt.java
@@ -172,6 +172,7 @@
 			scheduleProgressCheck(limitMillis - stalledMillis);
 			return;
 		}
+		this.request.recorder().stalled(this.targetRequest, this.destination, stalledMillis);
 		if (!this.request.retryGate().canSwitchTarget()) {
 			scheduleProgressCheck(limitMillis);
 			return;
@@ -255,6 +256,7 @@
 	}
 
 	private void recordProgress(long now) {
+		this.targetRequest.ifPresent((inFlight) -> inFlight.recordProgress(now));
 		if (this.hasProgressed && this.status / 100 == 2) {
 			long pauseMillis = TimeUnit.NANOSECONDS.toMillis(now - this.progressNanos);
 			this.targetRequest.ifPresent((inFlight) -> inFlight.recordStreamPause(pauseMillis, now));
--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/RoutedRequest.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/RoutedRequest.java
@@ -64,7 +64,7 @@
 
 	private final ResponseRelay relay;
 
-	private final RequestDecisionLog decisions = new RequestDecisionLog();
+	private final RequestRecorder recorder;
 
 	private final RetryGate retryGate;
 
@@ -80,8 +80,6 @@
 
 	private boolean ended;
 
-	private final ResponseTiming timing = new ResponseTiming();
-
 	RoutedRequest(GatewayContext context, DeclaredRoute route, long declarationVersion, RequestShape shape,
 			CallerRequest request, CallDetails details, AnswerSink sink, boolean forwarded, long arrivedNanos) {
 		this.context = context;
@@ -95,7 +93,10 @@
 		long requestedMillis = (details.deadlineMillis() >= 0) ? details.deadlineMillis() : route.timeoutMillis();
 		this.clock = new RequestClock(arrivedNanos, Math.min(requestedMillis, route.timeoutMillis()));
 		this.attempts = new AttemptHistory(route.maxAttempts());
-		this.retryGate = new RetryGate(context, route, shape, this.attempts, this.clock, forwarded, this.decisions);
+		this.recorder = new RequestRecorder(context, route, shape, details.requestId(), this.clock, this.attempts,
+				forwarded);
+		this.retryGate = new RetryGate(context, route, shape, this.attempts, this.clock, forwarded,
+				this.recorder.decisions());
 		this.relay = new ResponseRelay(sink, route.isStreaming(), details.resumeAfterEvent(), context.responseMemory());
 	}
 
@@ -168,11 +169,11 @@
 	private void sendToTarget(TargetChoice choice, Admission admission, long now) {
 		countRepeat();
 		this.attempts.recordSend(choice.target().id());
-		this.decisions.addTargetChoice(choice, this.clock.elapsedMillis(), remainingMillis());
+		this.recorder.decisions().addTargetChoice(choice, this.clock.elapsedMillis(), remainingMillis());
 		if (choice.target().report().limit().isFinite()) {
 			this.context.telemetry().count("limited.sends", service());
 		}
-		this.decisions.addProbe(admission, this.clock.elapsedMillis());
+		this.recorder.decisions().addProbe(admission, this.clock.elapsedMillis());
 		PromptStart promptStart = this.context.quarantine().send(this.shape, admission, now);
 		this.attempt = RoutedAttempt.toTarget(this, this.context.targets().begin(choice, this.shape, now), promptStart,
 				choice);
@@ -192,7 +193,8 @@
 	private void sendToRemoteVm(RemoteEntries.RemoteChoice choice, long expectedMillis) {
 		countRepeat();
 		this.attempts.recordSend(choice.vm());
-		this.decisions.addRemoteChoice(choice, expectedMillis, this.plan.local(), this.clock.elapsedMillis());
+		this.recorder.decisions()
+			.addRemoteChoice(choice, expectedMillis, this.plan.local(), this.clock.elapsedMillis());
 		this.context.telemetry().count("sent.away", service());
 		this.attempt = RoutedAttempt.toVm(this, this.context.remoteVms().begin(choice), expectedMillis);
 		this.attempt.start();
@@ -213,9 +215,7 @@
 	 */
 	void recordFailure(AttemptFailure failure) {
 		this.attempts.recordFailure(failure);
-		this.decisions.add(EventKind.ATTEMPT_FAILED, this.clock.elapsedMillis(), "at", this.attempt.destination(),
-				"verdict", failure.verdict(), "reachedTarget", failure.reachedTarget(), "detail", failure.detail(),
-				"lastEvent", this.relay.lastEventId());
+		this.recorder.attemptFailed(failure, this.attempt.destination(), this.relay.lastEventId());
 	}
 
 	/**
@@ -231,10 +231,13 @@
 			place();
 			return;
 		}
-		fail(GatewayError.TARGET_FAILED);
+		fail(GatewayError.TARGET_FAILED, CutCause.RETRY_DENIED);
 	}
 
-	private void fail(GatewayError errorIfMayHaveRun) {
+	private void fail(GatewayError errorIfMayHaveRun, CutCause cutCause) {
+		if (this.relay.isStarted()) {
+			this.recorder.answerCut(cutCause, this.plan);
+		}
 		if (this.relay.endIncomplete()) {
 			finish(EventKind.FAILED, errorIfMayHaveRun.name());
 			return;
@@ -249,7 +252,7 @@
 	}
 
 	private void refuseSuspended(Admission admission) {
-		this.decisions.addSuspension(admission, this.clock.elapsedMillis());
+		this.recorder.decisions().addSuspension(admission, this.clock.elapsedMillis());
 		respondNotRun(GatewayError.PART_SUSPENDED, admission.retryAfterMillis());
 	}
 
@@ -259,7 +262,7 @@
 
 	private void respondNotRun(GatewayError error, long millisUntilRetry) {
 		if (this.relay.isStarted() || this.relay.hasStoredResponse() || this.attempts.verdict() != Verdict.NOT_RUN) {
-			fail(GatewayError.TARGET_FAILED);
+			fail(GatewayError.TARGET_FAILED, CutCause.NOT_PLACED);
 			return;
 		}
 		this.retryAfterMillis = millisUntilRetry;
@@ -279,9 +282,7 @@
 	}
 
 	void onResponseDelivered() {
-		if (!this.timing.hasFirstPart()) {
-			this.timing.recordPart(this.clock.elapsedMillis());
-		}
+		this.recorder.responseDelivered();
 		finish(EventKind.ANSWERED, "");
 	}
 
@@ -292,7 +293,7 @@
 		if (this.attempt != null) {
 			this.attempts.recordVerdict(this.attempt.cancel());
 		}
-		fail(GatewayError.TIMED_OUT);
+		fail(GatewayError.TIMED_OUT, CutCause.DEADLINE);
 	}
 
 	@Override
@@ -303,7 +304,7 @@
 		if (this.attempt != null) {
 			this.attempt.cancel();
 		}
-		finish(EventKind.CALLER_GONE, "");
+		finish(EventKind.CALLER_GONE, this.forwarded ? "FORWARDING_VM" : "");
 	}
 
 	@Override
@@ -320,23 +321,12 @@
 		if (this.waitTimer != null) {
 			this.waitTimer.cancel(false);
 		}
-		this.context.telemetry().recordCompletion(service(), outcome, reason, this.clock.elapsedNanos());
-		boolean isRoutine = outcome == EventKind.ANSWERED && this.attempts.sendCount() == 1 && this.timing
-			.isWithinObjectives(this.route.latencyObjectiveMillis(), this.route.pauseObjectiveMillis());
 		if (outcome == EventKind.REFUSED) {
-			this.decisions.addRefusal(this.plan.local(), this.plan.remote(), this.retryAfterMillis,
-					this.clock.elapsedMillis());
-		}
-		if (!isRoutine) {
-			this.decisions.writeTo(this.context.telemetry(), id());
+			this.recorder.decisions()
+				.addRefusal(this.plan.local(), this.plan.remote(), this.retryAfterMillis, this.clock.elapsedMillis());
 		}
-		this.context.telemetry()
-			.log(outcome, "request", id(), "route", this.route.name(), "service", service(), "reason",
-					reason.isEmpty() ? null : reason, "version", this.declarationVersion, "at",
-					(this.attempt != null) ? this.attempt.destination() : null, "sends", this.attempts.sendCount(),
-					"verdict", this.attempts.verdict(), "millis", this.clock.elapsedMillis(), "firstPartMillis",
-					this.timing.firstPartMillis(), "longestPauseMillis", this.timing.longestPauseMillis(), "leftMillis",
-					this.clock.timeoutMillis(), "tokens", this.shape.promptTokens(), "forwarded", this.forwarded);
+		this.recorder.finish(outcome, reason, (this.attempt != null) ? this.attempt.destination() : null,
+				this.declarationVersion);
 	}
 
 	GatewayContext context() {
@@ -363,6 +353,10 @@
 		return this.relay;
 	}
 
+	RequestRecorder recorder() {
+		return this.recorder;
+	}
+
 	boolean isEnded() {
 		return this.ended;
 	}
@@ -384,10 +378,7 @@
 	}
 
 	void onPartSent() {
-		if (!this.timing.hasFirstPart()) {
-			this.context.telemetry().recordFirstPart(service(), this.clock.elapsedNanos());
-		}
-		this.timing.recordPart(this.clock.elapsedMillis());
+		this.recorder.partSent();
 	}
 
 }
--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/logging/EventKind.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/logging/EventKind.java
@@ -63,6 +63,12 @@
 	PLACED,
 	/** An attempt ended without a complete response. */
 	ATTEMPT_FAILED,
+
+	/** An attempt has made no progress for some time. */
+	ATTEMPT_STALLED,
+
+	/** An answer that had begun was broken off. */
+	ANSWER_CUT,
 	/** A request is retried on another target. */
 	RETRIED,
 	/** A request is not retried after a failed attempt. */
