Keep a silent attempt until another one begins to answer

Now a replacement is started beside it, at a place that the plan of the check grants. It takes over with the first bytes of its success, at which the attempt before it ends at once. If that makes progress first, the replacement is withdrawn. A refused replacement leaves it alone, and another one is tried while attempts and budget last. The timing moved to ProgressMonitor, the creation of attempts to AttemptFactory, their headers to AttemptHeaders.

--- a/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/gateway/Placement.java
+++ b/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/gateway/Placement.java
@@ -75,6 +75,14 @@
 		return Math.max(objectiveMillis, readMillis + QUEUE_FRACTION * objectiveMillis);
 	}
 
+	/**
+	 * Returns whether the request can be sent somewhere at once.
+	 * @return whether it is served in this region or forwarded
+	 */
+	public boolean hasPlace() {
+		return this.action == Action.SERVE_LOCALLY || this.action == Action.FORWARD;
+	}
+
 	/**
 	 * What is done with a request.
 	 */
--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/AttemptFailure.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/AttemptFailure.java
@@ -28,8 +28,8 @@
 		return new AttemptFailure(Cause.FAILED, Verdict.MAY_HAVE_RUN, true, detail);
 	}
 
-	static AttemptFailure stalled(String detail) {
-		return new AttemptFailure(Cause.STALLED, Verdict.MAY_HAVE_RUN, true, detail);
+	static AttemptFailure stalled(Verdict verdict, String detail) {
+		return new AttemptFailure(Cause.STALLED, verdict, verdict != Verdict.NOT_RUN, detail);
 	}
 
 	/**
@@ -46,7 +46,7 @@
 		/** The target failed, or the connection to it or to another VM broke off. */
 		FAILED,
 
-		/** The attempt made no progress, so it was given up. */
+		/** The attempt made no progress, and another one has begun to answer. */
 		STALLED,
 
 		/** The other VM returned an error of its own. */
--- /dev/null
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/AttemptHandover.java
@@ -0,0 +1,123 @@
+package org.vanillatrestle.daemon.internal.gateway;
+
+import java.util.Optional;
+
+import org.vanillatrestle.Verdict;
+
+/**
+ * The attempts of one request that are in progress: the current one, whose response is
+ * relayed, and at times a replacement that was started because the current one makes no
+ * progress.
+ * <p>
+ * Invariants: the current attempt is kept until the replacement has begun to answer, and
+ * then ended at once, because targets may hardly work on one request at the same time. A
+ * replacement is withdrawn as soon as the current attempt makes progress. Only the
+ * current attempt writes to the relay. Used only on the VM's event loop.
+ */
+final class AttemptHandover {
+
+	private final RoutedRequest request;
+
+	private RoutedAttempt current;
+
+	private RoutedAttempt replacement;
+
+	AttemptHandover(RoutedRequest request) {
+		this.request = request;
+	}
+
+	void begin(RoutedAttempt attempt) {
+		this.current = attempt;
+		attempt.start();
+	}
+
+	void beginReplacement(RoutedAttempt attempt) {
+		this.replacement = attempt;
+		attempt.start();
+	}
+
+	boolean hasReplacement() {
+		return this.replacement != null;
+	}
+
+	boolean isReplacement(RoutedAttempt attempt) {
+		return attempt == this.replacement;
+	}
+
+	/**
+	 * Notes progress of the current attempt, which makes its replacement needless.
+	 */
+	void recordProgress() {
+		if (this.replacement != null) {
+			this.request.recordWithdrawal(cancelReplacement());
+		}
+	}
+
+	/**
+	 * Ends the current attempt in favour of its replacement, which has begun to answer.
+	 */
+	void takeOver() {
+		RoutedAttempt previous = this.current;
+		Optional<AttemptFailure> failure = previous.giveUp();
+		failure.ifPresent((stalled) -> this.request.recordFailure(previous, stalled));
+		continueWithReplacement();
+	}
+
+	private void continueWithReplacement() {
+		this.current = this.replacement;
+		this.replacement = null;
+		this.current.becomeCurrent();
+	}
+
+	/**
+	 * Decides what follows the end of an attempt without a response to deliver. If the
+	 * current attempt has a replacement in progress, the replacement takes its place.
+	 * @param attempt the attempt that ended
+	 * @return whether no attempt is in progress, so that the request has to be retried or
+	 * to fail
+	 */
+	boolean isLastInProgress(RoutedAttempt attempt) {
+		if (isReplacement(attempt)) {
+			this.replacement = null;
+			return false;
+		}
+		if (attempt != this.current) {
+			return false;
+		}
+		if (hasReplacement()) {
+			continueWithReplacement();
+			return false;
+		}
+		return true;
+	}
+
+	/**
+	 * Cancels all attempts in progress.
+	 * @return whether the request may have run in any of them
+	 */
+	Verdict cancel() {
+		Verdict verdict = (this.current != null) ? this.current.cancel() : Verdict.NOT_RUN;
+		return verdict.and(cancelReplacement());
+	}
+
+	private Verdict cancelReplacement() {
+		RoutedAttempt cancelled = this.replacement;
+		this.replacement = null;
+		return (cancelled != null) ? cancelled.cancel() : Verdict.NOT_RUN;
+	}
+
+	void setReading(boolean reading) {
+		if (this.current != null) {
+			this.current.setReading(reading);
+		}
+	}
+
+	/**
+	 * Returns where the current attempt was sent.
+	 * @return the target or VM, {@code null} if there was no attempt
+	 */
+	String destination() {
+		return (this.current != null) ? this.current.destination() : null;
+	}
+
+}
--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/AttemptHistory.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/AttemptHistory.java
@@ -1,6 +1,7 @@
 package org.vanillatrestle.daemon.internal.gateway;
 
 import java.util.HashSet;
+import java.util.Optional;
 import java.util.Set;
 
 import org.vanillatrestle.RegionId;
@@ -32,8 +33,6 @@
 
 	private boolean hasArrived;
 
-	private TargetId lastTarget;
-
 	private Verdict verdict = Verdict.NOT_RUN;
 
 	private int sendCount;
@@ -50,31 +49,46 @@
 
 	void recordSend(TargetId target) {
 		this.triedTargets.add(target);
-		this.lastTarget = target;
 		this.sendCount++;
 	}
 
 	void recordSend(VmId vm) {
 		this.triedVms.add(vm);
-		this.lastTarget = null;
 		this.sendCount++;
 	}
 
 	/**
 	 * Notes that an attempt failed.
 	 * @param failure the failure
+	 * @param target the target of this region to which the attempt was sent, empty if it
+	 * was sent to another VM
 	 */
-	void recordFailure(AttemptFailure failure) {
-		recordVerdict(failure.verdict());
-		if (failure.verdict() != Verdict.NOT_RUN) {
-			this.possibleRuns++;
-		}
+	void recordFailure(AttemptFailure failure, Optional<TargetId> target) {
+		recordRun(failure.verdict());
 		this.hasArrived |= failure.reachedTarget();
-		if (failure.reachedTarget() && this.lastTarget != null) {
-			this.reachedTargets.add(this.lastTarget);
+		if (failure.reachedTarget()) {
+			target.ifPresent(this.reachedTargets::add);
 		}
 	}
 
+	/**
+	 * Notes that an attempt ended that counts as a run if it may have run.
+	 * @param attemptVerdict whether the request may have run in the attempt
+	 */
+	void recordRun(Verdict attemptVerdict) {
+		recordVerdict(attemptVerdict);
+		if (attemptVerdict != Verdict.NOT_RUN) {
+			this.possibleRuns++;
+		}
+	}
+
+	/**
+	 * Notes that another attempt follows while one is in progress at a target.
+	 */
+	void recordArrival() {
+		this.hasArrived = true;
+	}
+
 	void recordVerdict(Verdict attemptVerdict) {
 		this.verdict = this.verdict.and(attemptVerdict);
 	}
@@ -92,7 +106,7 @@
 	}
 
 	/**
-	 * Checks whether an attempt would be left if the one in progress were given up.
+	 * Checks whether an attempt is left beside the one in progress.
 	 * @return whether another attempt may follow
 	 */
 	boolean hasAttemptsLeftAfterRun() {
@@ -138,7 +152,8 @@
 	}
 
 	/**
-	 * Returns whether any attempt that failed may have reached a target.
+	 * Returns whether any attempt that failed or has a replacement may have reached a
+	 * target.
 	 * @return whether a further arrival is a repeated one
 	 */
 	boolean hasArrived() {
--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/RequestDispatcher.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/RequestDispatcher.java
@@ -158,7 +158,7 @@
 			ServiceName chosenService = route.selectService(this.context.random().nextDouble());
 			return Optional.ofNullable(this.declaration.services().get(chosenService));
 		}
-		String name = request.header(RoutedAttempt.SERVICE_HEADER);
+		String name = request.header(AttemptHeaders.SERVICE_HEADER);
 		boolean isOffered = route.shares()
 			.stream()
 			.anyMatch((share) -> share.weight() > 0 && share.service().value().equals(name));
--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/RequestRecorder.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/RequestRecorder.java
@@ -6,7 +6,11 @@
 import org.vanillatrestle.internal.declaration.DeclaredRoute;
 import org.vanillatrestle.internal.gateway.GatewayTarget;
 import org.vanillatrestle.internal.gateway.InFlightRequest;
+import org.vanillatrestle.internal.gateway.Placement;
+import org.vanillatrestle.internal.gateway.RemoteEntries;
 import org.vanillatrestle.internal.gateway.RequestShape;
+import org.vanillatrestle.internal.gateway.TargetChoice;
+import org.vanillatrestle.internal.quarantine.Admission;
 
 /**
  * Records what happens to one request: the decisions made for it, the timing of its
@@ -62,6 +66,15 @@
 		}
 	}
 
+	void placed(TargetChoice choice, Admission admission) {
+		this.decisions.addTargetChoice(choice, this.clock.elapsedMillis(), this.clock.remainingMillis());
+		this.decisions.addProbe(admission, this.clock.elapsedMillis());
+	}
+
+	void forwarded(RemoteEntries.RemoteChoice choice, long expectedMillis, Placement.Estimate local) {
+		this.decisions.addRemoteChoice(choice, expectedMillis, local, this.clock.elapsedMillis());
+	}
+
 	void attemptFailed(AttemptFailure failure, String destination, long lastEventId) {
 		this.decisions.add(EventKind.ATTEMPT_FAILED, this.clock.elapsedMillis(), "at", destination, "verdict",
 				failure.verdict(), "reachedTarget", failure.reachedTarget(), "detail", failure.detail(), "lastEvent",
--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/RetryGate.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/RetryGate.java
@@ -54,13 +54,17 @@
 	boolean tryRetry(AttemptFailure failure) {
 		RetryBudget.State budget = this.context.retryBudget().state(this.shape.service().name(), System.nanoTime());
 		Optional<Denial> denial = findDenial(failure);
-		String outcome = denial.map(Denial::label).orElse(failure.reachedTarget() ? "charged" : "free");
+		record(failure.cause(), denial, failure.reachedTarget() ? "charged" : "free", budget);
+		return denial.isEmpty();
+	}
+
+	private void record(AttemptFailure.Cause cause, Optional<Denial> denial, String granted, RetryBudget.State budget) {
+		String outcome = denial.map(Denial::label).orElse(granted);
 		this.decisions.add(denial.isEmpty() ? EventKind.RETRIED : EventKind.RETRY_DENIED, this.clock.elapsedMillis(),
-				"cause", failure.cause().label(), "outcome", outcome, "sends", this.attempts.sendCount(), "runs",
+				"cause", cause.label(), "outcome", outcome, "sends", this.attempts.sendCount(), "runs",
 				this.attempts.possibleRuns(), "budgetLeft", Math.floor(budget.left()), "requests", budget.requests(),
 				"retries", budget.retries(), "vms", budget.vmCount());
-		this.context.telemetry().countRetry(this.shape.service().name().value(), failure.cause().label(), outcome);
-		return denial.isEmpty();
+		this.context.telemetry().countRetry(this.shape.service().name().value(), cause.label(), outcome);
 	}
 
 	private Optional<Denial> findDenial(AttemptFailure failure) {
@@ -97,16 +101,24 @@
 	}
 
 	/**
-	 * Checks whether the request may switch away from a target that makes no progress.
-	 * @return whether an attempt, retry budget and another destination are available
+	 * Checks whether an attempt that makes no progress may have a replacement.
+	 * @return whether an attempt and retry budget are left
 	 */
-	boolean canSwitchTarget() {
-		if (!hasAttemptsLeftAfterRun() || isSuspended()
-				|| this.context.retryBudget().state(this.shape.service().name(), System.nanoTime()).left() < 1) {
-			return false;
-		}
-		return PlacementPlan.choose(this.context, this.route, this.shape, this.attempts, !this.forwarded)
-			.hasDestination();
+	boolean mayReplace() {
+		return hasAttemptsLeftAfterRun()
+				&& this.context.retryBudget().state(this.shape.service().name(), System.nanoTime()).left() >= 1;
+	}
+
+	/**
+	 * Charges a replacement of an attempt that makes no progress to the retry budget.
+	 * @return whether the replacement may be started
+	 */
+	boolean tryReplace() {
+		RetryBudget.State budget = this.context.retryBudget().state(this.shape.service().name(), System.nanoTime());
+		boolean isGranted = this.context.retryBudget().tryRetry(this.shape.service().name(), System.nanoTime());
+		record(AttemptFailure.Cause.STALLED, isGranted ? Optional.empty() : Optional.of(Denial.BUDGET), "charged",
+				budget);
+		return isGranted;
 	}
 
 	/**
--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/RoutedAttempt.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/RoutedAttempt.java
@@ -1,10 +1,8 @@
 package org.vanillatrestle.daemon.internal.gateway;
 
 import java.util.Optional;
-import java.util.concurrent.TimeUnit;
 
 import io.netty.buffer.ByteBuf;
-import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import org.vanillatrestle.TargetId;
 import org.vanillatrestle.Verdict;
@@ -12,10 +10,8 @@
 import org.vanillatrestle.daemon.internal.pipeline.AnswerHead;
 import org.vanillatrestle.daemon.internal.pipeline.AttemptHandle;
 import org.vanillatrestle.daemon.internal.pipeline.AttemptListener;
-import org.vanillatrestle.daemon.internal.pipeline.HeaderNames;
 import org.vanillatrestle.daemon.internal.target.TargetRequest;
 import org.vanillatrestle.daemon.protocol.AnswerMetadata;
-import org.vanillatrestle.daemon.protocol.OutgoingRequestOptions;
 import org.vanillatrestle.internal.gateway.InFlightRequest;
 import org.vanillatrestle.internal.gateway.RemoteEntries;
 import org.vanillatrestle.internal.gateway.TargetChoice;
@@ -30,36 +26,6 @@
  */
 final class RoutedAttempt implements AttemptListener {
 
-	/**
-	 * Header that names the service of a request forwarded by another VM.
-	 */
-	static final String SERVICE_HEADER = "Vanillatrestle-Service";
-
-	private static final int MAX_PRIORITY = 9;
-
-	/**
-	 * An attempt is stalled if it makes no progress for this multiple of its expected
-	 * time.
-	 */
-	private static final int EXPECTED_TIME_STALL_FACTOR = 5;
-
-	/**
-	 * Minimum time without an event after which a running stream is stalled: callers
-	 * abandon a stream after a few seconds without data.
-	 */
-	private static final long STREAM_STALL_MILLIS = 1_200;
-
-	/**
-	 * A stream is stalled if it makes no progress for this multiple of the route's pause
-	 * objective.
-	 */
-	private static final double PAUSE_STALL_FACTOR = 1.5;
-
-	/**
-	 * Minimum time without the first event after which a stream is stalled.
-	 */
-	private static final long FIRST_EVENT_STALL_MILLIS = 1_500;
-
 	private final RoutedRequest request;
 
 	private final TargetAddress address;
@@ -74,11 +40,7 @@
 
 	private final String destination;
 
-	private final long expectedMillis;
-
-	private long progressNanos;
-
-	private boolean hasProgressed;
+	private final ProgressMonitor progress;
 
 	private boolean hasKnownLength;
 
@@ -90,6 +52,12 @@
 
 	private int status;
 
+	// the head of a replacement that has not taken over yet
+	private AnswerHead unrelayedHead;
+
+	// whether this was a replacement when the head of a response without success arrived
+	private boolean bodyDiscarded;
+
 	private boolean done;
 
 	private RoutedAttempt(RoutedRequest request, TargetAddress address, Optional<InFlightRequest> targetRequest,
@@ -102,7 +70,7 @@
 		this.remoteRequest = remoteRequest;
 		this.copyFrom = copyFrom;
 		this.destination = destination;
-		this.expectedMillis = expectedMillis;
+		this.progress = new ProgressMonitor(request.context().loop(), request.route(), expectedMillis, this::onStall);
 	}
 
 	static RoutedAttempt toTarget(RoutedRequest request, InFlightRequest inFlight, PromptStart promptStart,
@@ -121,64 +89,61 @@
 
 	void start() {
 		GatewayContext context = this.request.context();
-		Optional<TargetId> expectedTarget = this.targetRequest.map((inFlight) -> inFlight.target().id());
-		Optional<Integer> priority = expectedTarget
-			.map((target) -> Math.min(MAX_PRIORITY, Math.max(0, this.request.route().priority())));
-		long remainingMillis = Math.max(1, this.request.remainingMillis());
-		OutgoingRequestOptions terms = new OutgoingRequestOptions(expectedTarget, remainingMillis, priority,
-				this.request.relay().lastEventId(), this.copyFrom);
-		HttpHeaders headers = context.protocol().outgoingHeaders(this.request.request().headers(), terms);
-		headers.remove(SERVICE_HEADER);
-		headers.remove(HeaderNames.TRIED_TARGETS);
-		headers.set(HttpHeaderNames.HOST, this.request.request().header(HttpHeaderNames.HOST));
-		if (this.remoteRequest.isPresent()) {
-			headers.set(SERVICE_HEADER, this.request.shape().service().name().value());
-			headers.set(HeaderNames.TRIED_TARGETS, RemoteError.join(this.request.attempts().triedTargets()));
-		}
+		HttpHeaders headers = AttemptHeaders.create(this.request, target(), this.copyFrom);
 		String query = this.request.request().query();
 		String uri = this.request.request().path() + (query.isEmpty() ? "" : '?' + query);
 		this.handle = context.client()
 			.send(new TargetRequest(this.address, this.request.request().method(), uri, headers,
 					this.request.request().body(), false,
 					(response) -> context.protocol().isAnswerTo(response, this.request.id())), this);
-		this.progressNanos = System.nanoTime();
-		if (this.request.route().isRepeatable()) {
-			scheduleProgressCheck(stallMillis());
-		}
+		this.progress.start();
 	}
 
-	// the time without progress after which another target may be tried
-	private long stallMillis() {
-		long objective = this.request.route().latencyObjectiveMillis();
-		if (!this.request.route().isStreaming()) {
-			return Math.max(objective / 2, EXPECTED_TIME_STALL_FACTOR * this.expectedMillis);
+	private void onStall(long stalledMillis) {
+		if (this.request.handover().isReplacement(this)) {
+			return;
+		}
+		if (this.progress.isFirstNotice()) {
+			this.request.recorder().stalled(this.targetRequest, this.destination, stalledMillis);
 		}
-		long pauseMillis = Math.round(PAUSE_STALL_FACTOR * this.request.route().pauseObjectiveMillis());
-		return this.hasProgressed ? Math.max(STREAM_STALL_MILLIS, pauseMillis)
-				: Math.max(FIRST_EVENT_STALL_MILLIS, EXPECTED_TIME_STALL_FACTOR * this.expectedMillis);
+		this.request.startReplacement();
+	}
+
+	private void end() {
+		this.done = true;
+		this.progress.stop();
 	}
 
-	private void scheduleProgressCheck(long delayMillis) {
-		this.request.context().loop().schedule(this::checkProgress, Math.max(1, delayMillis), TimeUnit.MILLISECONDS);
+	Optional<TargetId> target() {
+		return this.targetRequest.map((inFlight) -> inFlight.target().id());
 	}
 
-	private void checkProgress() {
-		if (this.done) {
-			return;
-		}
-		long stalledMillis = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - this.progressNanos);
-		long limitMillis = stallMillis();
-		if (stalledMillis < limitMillis) {
-			scheduleProgressCheck(limitMillis - stalledMillis);
-			return;
+	/**
+	 * Continues as the attempt whose response is relayed.
+	 */
+	void becomeCurrent() {
+		if (this.unrelayedHead != null && !this.bodyDiscarded) {
+			this.request.relay().head(this.unrelayedHead);
 		}
-		this.request.recorder().stalled(this.targetRequest, this.destination, stalledMillis);
-		if (!this.request.retryGate().canSwitchTarget()) {
-			scheduleProgressCheck(limitMillis);
-			return;
+		this.unrelayedHead = null;
+		setReading(this.request.isCallerWritable());
+	}
+
+	/**
+	 * Ends the attempt because another one has begun to answer.
+	 * @return the failure, empty if the attempt had ended before
+	 */
+	Optional<AttemptFailure> giveUp() {
+		if (this.done) {
+			return Optional.empty();
 		}
-		this.handle.cancel();
-		abandon(AttemptFailure.stalled("no progress for " + stalledMillis + " ms"));
+		end();
+		long now = System.nanoTime();
+		this.promptStart.ifPresent(PromptStart::end);
+		recordTargetFailure(false, now);
+		this.remoteRequest.ifPresent((inFlight) -> recordRemoteFailure(inFlight, false));
+		return Optional.of(AttemptFailure.stalled(this.handle.cancel(),
+				"no progress for " + this.progress.silentMillis(now) + " ms, another attempt has begun"));
 	}
 
 	String destination() {
@@ -193,7 +158,7 @@
 		if (this.done) {
 			return Verdict.NOT_RUN;
 		}
-		this.done = true;
+		end();
 		this.promptStart.ifPresent(PromptStart::end);
 		this.targetRequest.ifPresent(InFlightRequest::end);
 		this.remoteRequest.ifPresent(RemoteEntries.RemoteRequest::cancelled);
@@ -224,6 +189,12 @@
 		if (this.status / 100 == 2) {
 			this.targetRequest.ifPresent((inFlight) -> inFlight.answerStarted(System.nanoTime()));
 		}
+		if (this.request.handover().isReplacement(this)) {
+			this.unrelayedHead = head;
+			this.bodyDiscarded = this.status / 100 != 2 || this.responseFacts.encoded() || this.responseFacts.notRun()
+					|| this.remoteError != null;
+			return;
+		}
 		if (!this.request.relay().isStarted() || this.status / 100 == 2) {
 			this.request.relay().head(head);
 		}
@@ -231,10 +202,13 @@
 
 	@Override
 	public void onBody(ByteBuf data) {
-		if (this.request.relay().isStarted() && this.status / 100 != 2) {
+		if (this.bodyDiscarded || (this.request.relay().isStarted() && this.status / 100 != 2)) {
 			data.release();
 			return;
 		}
+		if (this.request.handover().isReplacement(this)) {
+			this.request.handover().takeOver();
+		}
 		boolean eventSent = this.request.relay().body(data);
 		if (this.request.relay().isTooLong()) {
 			this.handle.cancel();
@@ -257,20 +231,21 @@
 
 	private void recordProgress(long now) {
 		this.targetRequest.ifPresent((inFlight) -> inFlight.recordProgress(now));
-		if (this.hasProgressed && this.status / 100 == 2) {
-			long pauseMillis = TimeUnit.NANOSECONDS.toMillis(now - this.progressNanos);
+		boolean hasProgressed = this.progress.hasProgressed();
+		if (hasProgressed && this.status / 100 == 2) {
+			long pauseMillis = this.progress.silentMillis(now);
 			this.targetRequest.ifPresent((inFlight) -> inFlight.recordStreamPause(pauseMillis, now));
 		}
-		if (!this.hasProgressed && this.status / 100 == 2) {
+		if (!hasProgressed && this.status / 100 == 2) {
 			this.promptStart.ifPresent((start) -> start.answerBegan(now));
 		}
-		this.progressNanos = now;
-		this.hasProgressed = true;
+		this.progress.recordProgress(now);
+		this.request.handover().recordProgress();
 	}
 
 	@Override
 	public void onEnd() {
-		this.done = true;
+		end();
 		long now = System.nanoTime();
 		if (this.responseFacts.notRun() || this.status / 100 != 2) {
 			this.promptStart.ifPresent(PromptStart::end);
@@ -281,30 +256,33 @@
 		}
 		if (this.responseFacts.notRun()) {
 			this.targetRequest.ifPresent(InFlightRequest::end);
-			this.request
-				.onAttemptFailed(AttemptFailure.rejected("the target did not run the request, status " + this.status));
+			this.request.onAttemptFailed(this,
+					AttemptFailure.rejected("the target did not run the request, status " + this.status));
 			return;
 		}
 		boolean success = this.status / 100 == 2;
 		if (success && this.responseFacts.encoded()) {
 			this.promptStart.ifPresent(PromptStart::end);
 			recordTargetFailure(false, now);
-			this.request.onAttemptFailed(AttemptFailure.failed("the response body has an unexpected encoding"));
+			this.request.onAttemptFailed(this, AttemptFailure.failed("the response body has an unexpected encoding"));
 			return;
 		}
-		if (!success && (this.request.relay().isStarted()
-				|| (this.status >= 500 && this.request.retryGate().hasAttemptsLeftAfterRun()))) {
+		if (!success && (this.bodyDiscarded || this.request.relay().isStarted()
+				|| (this.status >= 500 && mayOtherAttemptAnswer()))) {
 			this.targetRequest.ifPresent((inFlight) -> inFlight.answeredWithError(now));
-			if (!this.request.relay().isStarted()) {
+			if (!this.bodyDiscarded && !this.request.relay().isStarted()) {
 				this.request.relay().storeResponse();
 			}
-			this.request.onAttemptFailed(AttemptFailure.failed("status " + this.status));
+			this.request.onAttemptFailed(this, AttemptFailure.failed("status " + this.status));
 			return;
 		}
+		if (this.request.handover().isReplacement(this)) {
+			this.request.handover().takeOver();
+		}
 		if (!this.request.relay().end()) {
 			AttemptFailure failure = AttemptFailure.failed("the stream ended in the middle of an event");
 			this.targetRequest.ifPresentOrElse((inFlight) -> breakOff(inFlight, failure),
-					() -> this.request.onAttemptFailed(failure));
+					() -> this.request.onAttemptFailed(this, failure));
 			return;
 		}
 		if (success) {
@@ -321,6 +299,10 @@
 		this.request.onResponseDelivered();
 	}
 
+	private boolean mayOtherAttemptAnswer() {
+		return this.request.handover().hasReplacement() || this.request.retryGate().hasAttemptsLeftAfterRun();
+	}
+
 	@Override
 	public void onFailure(Verdict verdict, String detail) {
 		if (this.done) {
@@ -332,7 +314,7 @@
 			abandon(failure);
 			return;
 		}
-		this.done = true;
+		end();
 		breakOff(this.targetRequest.get(), failure);
 	}
 
@@ -342,36 +324,36 @@
 		AttemptFailure failure = new AttemptFailure(AttemptFailure.Cause.REMOTE_ERROR, error.verdict(),
 				error.mayHaveReachedTarget(), "the remote VM returned an error, status " + this.status + ", " + error);
 		this.request.attempts().recordRemoteError(this.remoteRequest.orElseThrow().choice(), error);
-		this.request.onAttemptFailed(failure);
+		this.request.onAttemptFailed(this, failure);
 	}
 
 	// the target closed the connection before the answer was complete
 	private void breakOff(InFlightRequest inFlight, AttemptFailure failure) {
 		recordTargetFailure(false, System.nanoTime());
-		this.request.recordFailure(failure);
+		this.request.recordFailure(this, failure);
 		TargetCrashMonitor crashes = this.request.context().crashMonitor();
 		boolean hasSharedParts = !inFlight.sharedParts().isEmpty();
-		if (hasSharedParts && !this.hasProgressed) {
+		if (hasSharedParts && !this.progress.hasProgressed()) {
 			crashes.requestBrokeOff(inFlight, this.request.id(), this.promptStart.orElseThrow(),
-					() -> this.request.retryOrFail(failure));
+					() -> this.request.retryOrFail(this, failure));
 			return;
 		}
 		if (hasSharedParts) {
 			crashes.answerBrokeOff(inFlight);
 		}
-		this.request.retryOrFail(failure);
+		this.request.retryOrFail(this, failure);
 	}
 
 	private void abandon(AttemptFailure failure) {
 		if (this.done) {
 			return;
 		}
-		this.done = true;
+		end();
 		this.promptStart.ifPresent(PromptStart::end);
 		boolean unreachable = !failure.reachedTarget();
 		recordTargetFailure(unreachable, System.nanoTime());
 		this.remoteRequest.ifPresent((inFlight) -> recordRemoteFailure(inFlight, unreachable));
-		this.request.onAttemptFailed(failure);
+		this.request.onAttemptFailed(this, failure);
 	}
 
 	private void recordRemoteFailure(RemoteEntries.RemoteRequest inFlight, boolean unreachable) {
--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/RoutedRequest.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/RoutedRequest.java
@@ -13,12 +13,9 @@
 import org.vanillatrestle.daemon.protocol.CallDetails;
 import org.vanillatrestle.internal.declaration.DeclaredRoute;
 import org.vanillatrestle.internal.gateway.Placement;
-import org.vanillatrestle.internal.gateway.RemoteEntries;
 import org.vanillatrestle.internal.gateway.RequestShape;
 import org.vanillatrestle.internal.gateway.StartupWait;
-import org.vanillatrestle.internal.gateway.TargetChoice;
 import org.vanillatrestle.internal.quarantine.Admission;
-import org.vanillatrestle.internal.quarantine.PromptStart;
 
 /**
  * Processes one request on a declared route, from its arrival to its response.
@@ -34,10 +31,6 @@
 
 	private static final long PLACEMENT_RETRY_MILLIS = 25;
 
-	// From this many unread prompt tokens on, the load is reported to other VMs at once:
-	// several more requests arrive while an engine reads that many.
-	private static final long LARGE_PROMPT_TOKENS = 4_000;
-
 	private static final long MIN_RETRY_AFTER_MILLIS = 250;
 
 	private static final long MAX_RETRY_AFTER_MILLIS = 3_000;
@@ -68,7 +61,9 @@
 
 	private final RetryGate retryGate;
 
-	private RoutedAttempt attempt;
+	private final AttemptHandover handover;
+
+	private final AttemptFactory attemptFactory;
 
 	private Future<?> deadline;
 
@@ -98,6 +93,8 @@
 		this.retryGate = new RetryGate(context, route, shape, this.attempts, this.clock, forwarded,
 				this.recorder.decisions());
 		this.relay = new ResponseRelay(sink, route.isStreaming(), details.resumeAfterEvent(), context.responseMemory());
+		this.handover = new AttemptHandover(this);
+		this.attemptFactory = new AttemptFactory(this);
 	}
 
 	void start() {
@@ -127,14 +124,11 @@
 			placeLater();
 			return;
 		}
-		boolean mayForward = !this.forwarded && (admission.action() != Admission.Action.PROBE
-				|| !PlacementPlan.isServedInRegion(this.context, this.route, this.shape));
-		this.plan = PlacementPlan.choose(this.context, this.route, this.shape, this.attempts, mayForward);
-		Placement placement = Placement.decide(this.plan.local(), this.plan.remote(), this.shape.maxReadingShare(),
-				this.route.latencyObjectiveMillis(), this.context.targets().readMillis(this.shape), remainingMillis());
+		this.plan = choosePlan(admission);
+		Placement placement = this.plan.decide(this.context, this.route, this.shape, remainingMillis());
 		switch (placement.action()) {
-			case SERVE_LOCALLY -> sendToTarget(this.plan.target().get(), admission, now);
-			case FORWARD -> sendToRemoteVm(this.plan.vm().get(), placement.expectedMillis());
+			case SERVE_LOCALLY, FORWARD ->
+				this.handover.begin(this.attemptFactory.create(this.plan, placement, admission, now));
 			case QUEUE -> waitForCapacity();
 			case REFUSE ->
 				refuse(GatewayError.NO_CAPACITY, placement.expectedMillis() - this.route.latencyObjectiveMillis());
@@ -166,64 +160,72 @@
 		this.waitTimer = this.context.loop().schedule(this::place, PLACEMENT_RETRY_MILLIS, TimeUnit.MILLISECONDS);
 	}
 
-	private void sendToTarget(TargetChoice choice, Admission admission, long now) {
-		countRepeat();
-		this.attempts.recordSend(choice.target().id());
-		this.recorder.decisions().addTargetChoice(choice, this.clock.elapsedMillis(), remainingMillis());
-		if (choice.target().report().limit().isFinite()) {
-			this.context.telemetry().count("limited.sends", service());
+	/**
+	 * Starts another attempt beside one that makes no progress, if the request may have
+	 * one and a place is free. The check and the start follow the same plan.
+	 */
+	void startReplacement() {
+		if (this.ended || this.handover.hasReplacement() || !this.retryGate.mayReplace()) {
+			return;
 		}
-		this.recorder.decisions().addProbe(admission, this.clock.elapsedMillis());
-		PromptStart promptStart = this.context.quarantine().send(this.shape, admission, now);
-		this.attempt = RoutedAttempt.toTarget(this, this.context.targets().begin(choice, this.shape, now), promptStart,
-				choice);
-		this.attempt.start();
-		if (choice.unreadTokens() >= LARGE_PROMPT_TOKENS) {
-			this.context.onLargeRequest().run();
+		long now = System.nanoTime();
+		Admission admission = this.context.quarantine().admit(this.shape, now);
+		if (admission.action() == Admission.Action.REFUSE || admission.action() == Admission.Action.WAIT) {
+			return;
 		}
-	}
-
-	// at the VM that the caller asked, so that the sum over all VMs is what targets see
-	private void countRepeat() {
-		if (this.attempts.hasArrived()) {
-			this.context.telemetry().count("repeats", service());
+		PlacementPlan replacementPlan = choosePlan(admission);
+		Placement placement = replacementPlan.decide(this.context, this.route, this.shape, remainingMillis());
+		if (!placement.hasPlace() || !this.retryGate.tryReplace()) {
+			return;
 		}
+		this.plan = replacementPlan;
+		this.context.telemetry().count("retries", service());
+		this.attempts.recordArrival();
+		this.handover.beginReplacement(this.attemptFactory.create(this.plan, placement, admission, now));
 	}
 
-	private void sendToRemoteVm(RemoteEntries.RemoteChoice choice, long expectedMillis) {
-		countRepeat();
-		this.attempts.recordSend(choice.vm());
-		this.recorder.decisions()
-			.addRemoteChoice(choice, expectedMillis, this.plan.local(), this.clock.elapsedMillis());
-		this.context.telemetry().count("sent.away", service());
-		this.attempt = RoutedAttempt.toVm(this, this.context.remoteVms().begin(choice), expectedMillis);
-		this.attempt.start();
+	private PlacementPlan choosePlan(Admission admission) {
+		boolean mayForward = !this.forwarded && (admission.action() != Admission.Action.PROBE
+				|| !PlacementPlan.isServedInRegion(this.context, this.route, this.shape));
+		return PlacementPlan.choose(this.context, this.route, this.shape, this.attempts, mayForward);
 	}
 
 	/**
 	 * Retries or fails the request after an attempt ended without a response to deliver.
+	 * @param attempt the attempt
 	 * @param failure the failure of the attempt
 	 */
-	void onAttemptFailed(AttemptFailure failure) {
-		recordFailure(failure);
-		retryOrFail(failure);
+	void onAttemptFailed(RoutedAttempt attempt, AttemptFailure failure) {
+		recordFailure(attempt, failure);
+		retryOrFail(attempt, failure);
 	}
 
 	/**
 	 * Notes that an attempt ended without a response to deliver.
+	 * @param attempt the attempt
 	 * @param failure the failure of the attempt
 	 */
-	void recordFailure(AttemptFailure failure) {
-		this.attempts.recordFailure(failure);
-		this.recorder.attemptFailed(failure, this.attempt.destination(), this.relay.lastEventId());
+	void recordFailure(RoutedAttempt attempt, AttemptFailure failure) {
+		this.attempts.recordFailure(failure, attempt.target());
+		this.recorder.attemptFailed(failure, attempt.destination(), this.relay.lastEventId());
 	}
 
 	/**
-	 * Retries or fails the request after a failed attempt.
+	 * Notes that a replacement was cancelled because the attempt before it goes on.
+	 * @param verdict whether the request may have run in the replacement
+	 */
+	void recordWithdrawal(Verdict verdict) {
+		this.attempts.recordRun(verdict);
+	}
+
+	/**
+	 * Retries or fails the request after a failed attempt, unless another attempt is in
+	 * progress.
+	 * @param attempt the attempt
 	 * @param failure the failure of the attempt
 	 */
-	void retryOrFail(AttemptFailure failure) {
-		if (this.ended) {
+	void retryOrFail(RoutedAttempt attempt, AttemptFailure failure) {
+		if (this.ended || !this.handover.isLastInProgress(attempt)) {
 			return;
 		}
 		if (this.retryGate.tryRetry(failure)) {
@@ -282,6 +284,7 @@
 	}
 
 	void onResponseDelivered() {
+		this.handover.recordProgress();
 		this.recorder.responseDelivered();
 		finish(EventKind.ANSWERED, "");
 	}
@@ -290,9 +293,7 @@
 		if (this.ended) {
 			return;
 		}
-		if (this.attempt != null) {
-			this.attempts.recordVerdict(this.attempt.cancel());
-		}
+		this.attempts.recordVerdict(this.handover.cancel());
 		fail(GatewayError.TIMED_OUT, CutCause.DEADLINE);
 	}
 
@@ -301,17 +302,13 @@
 		if (this.ended) {
 			return;
 		}
-		if (this.attempt != null) {
-			this.attempt.cancel();
-		}
+		this.handover.cancel();
 		finish(EventKind.CALLER_GONE, this.forwarded ? "FORWARDING_VM" : "");
 	}
 
 	@Override
 	public void writabilityChanged() {
-		if (this.attempt != null) {
-			this.attempt.setReading(this.sink.isWritable());
-		}
+		this.handover.setReading(this.sink.isWritable());
 	}
 
 	private void finish(EventKind outcome, String reason) {
@@ -325,8 +322,7 @@
 			this.recorder.decisions()
 				.addRefusal(this.plan.local(), this.plan.remote(), this.retryAfterMillis, this.clock.elapsedMillis());
 		}
-		this.recorder.finish(outcome, reason, (this.attempt != null) ? this.attempt.destination() : null,
-				this.declarationVersion);
+		this.recorder.finish(outcome, reason, this.handover.destination(), this.declarationVersion);
 	}
 
 	GatewayContext context() {
@@ -353,6 +349,14 @@
 		return this.relay;
 	}
 
+	AttemptHandover handover() {
+		return this.handover;
+	}
+
+	boolean isCallerWritable() {
+		return this.sink.isWritable();
+	}
+
 	RequestRecorder recorder() {
 		return this.recorder;
 	}
