Try another target only after a silence that is unusual for a sound one

A stream that had begun was tried elsewhere after 1.2 s, but targets preempt streams for a second or so and resume them. The time is now half of the callers' patience, at least 1.2 s and at most 2 s; patience is what the platform states: 2 s, four times the objective or eight times the pause objective, whichever is longest. As before, it is never less than one and a half times the pause objective, so that a stream that is slow as its route allows is left alone.

--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/ProgressMonitor.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/ProgressMonitor.java
@@ -5,6 +5,7 @@
 
 import io.netty.channel.EventLoop;
 import org.vanillatrestle.internal.declaration.DeclaredRoute;
+import org.vanillatrestle.internal.gateway.StreamPatience;
 
 /**
  * Notices when an attempt makes no progress for longer than expected.
@@ -19,18 +20,6 @@
 	 */
 	private static final int EXPECTED_TIME_STALL_FACTOR = 5;
 
-	/**
-	 * Minimum time without an event after which a running stream is stalled: callers
-	 * abandon a stream after a few seconds without data.
-	 */
-	private static final long STREAM_STALL_MILLIS = 1_200;
-
-	/**
-	 * A stream is stalled if it makes no progress for this multiple of the route's pause
-	 * objective.
-	 */
-	private static final double PAUSE_STALL_FACTOR = 1.5;
-
 	/**
 	 * Minimum time without the first event after which a stream is stalled.
 	 */
@@ -122,8 +111,7 @@
 		if (!this.route.isStreaming()) {
 			return Math.max(objective / 2, EXPECTED_TIME_STALL_FACTOR * this.expectedMillis);
 		}
-		long pauseMillis = Math.round(PAUSE_STALL_FACTOR * this.route.pauseObjectiveMillis());
-		return this.hasProgressed ? Math.max(STREAM_STALL_MILLIS, pauseMillis)
+		return this.hasProgressed ? StreamPatience.of(this.route).stallMillis()
 				: Math.max(FIRST_EVENT_STALL_MILLIS, EXPECTED_TIME_STALL_FACTOR * this.expectedMillis);
 	}
 
