Count a silent attempt as a failure only if its target is silent

Each attempt that was given up for silence counted against the health of its target, also where the target's other answers went on and it had only preempted this one; three in a row ejected it, and its load went to the others.

--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/RoutedAttempt.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/RoutedAttempt.java
@@ -140,10 +140,15 @@
 		end();
 		long now = System.nanoTime();
 		this.promptStart.ifPresent(PromptStart::end);
+		long stalledMillis = this.progress.silentMillis(now);
+		// A target whose other answers go on has preempted this one or is busy.
+		if (this.targetRequest.filter((inFlight) -> inFlight.target().silentMillis(now) < stalledMillis).isPresent()) {
+			this.targetRequest.get().end();
+		}
 		recordTargetFailure(false, now);
 		this.remoteRequest.ifPresent((inFlight) -> recordRemoteFailure(inFlight, false));
 		return Optional.of(AttemptFailure.stalled(this.handle.cancel(),
-				"no progress for " + this.progress.silentMillis(now) + " ms, another attempt has begun"));
+				"no progress for " + stalledMillis + " ms, another attempt has begun"));
 	}
 
 	String destination() {
