Continue a stream that has begun wherever there is room

It now takes the place with room that begins first, and waits for room while the callers' patience lasts and an untried target of the region exists; also at a VM to which it was forwarded, which knows it by its Last-Event-Id.

--- a/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/gateway/GatewayTargets.java
+++ b/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/gateway/GatewayTargets.java
@@ -180,7 +180,19 @@
 	 * @return whether there is such a target, even one without free capacity
 	 */
 	public boolean hasTarget(DeclaredService service) {
-		return this.targets.values().stream().anyMatch((target) -> this.eligibility.isOffered(target, service));
+		return hasUntriedTarget(service, Set.of());
+	}
+
+	/**
+	 * Returns whether any known target of a service is ready, not evacuated and untried.
+	 * @param service the service
+	 * @param tried the targets that a request was already sent to
+	 * @return whether there is such a target, even one without free capacity
+	 */
+	public boolean hasUntriedTarget(DeclaredService service, Set<TargetId> tried) {
+		return this.targets.values()
+			.stream()
+			.anyMatch((target) -> this.eligibility.isOffered(target, service) && !tried.contains(target.id()));
 	}
 
 	/**
--- a/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/gateway/Placement.java
+++ b/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/gateway/Placement.java
@@ -66,6 +66,34 @@
 		return new Placement(tooLate ? Action.REFUSE : action, chosen.waitMillis());
 	}
 
+	/**
+	 * Decides where an answer that has begun is continued. The limits for new requests
+	 * only prefer one region to the other: breaking the answer off would waste all that
+	 * it has cost, so that it goes wherever a target has free capacity, and otherwise
+	 * waits.
+	 * @param local the estimate for this region
+	 * @param remote the estimate for the best other region
+	 * @param maxReadingShare the highest harmful reading share of a target at which it
+	 * gets new requests
+	 * @param objectiveMillis the time in milliseconds in which an answer should begin
+	 * @param readMillis the time in milliseconds to read the request's own prompt
+	 * @param leftMillis the time in milliseconds until the request's deadline
+	 * @return the decision, which is never to refuse
+	 */
+	public static Placement decideForBegunAnswer(Estimate local, Estimate remote, double maxReadingShare,
+			long objectiveMillis, long readMillis, long leftMillis) {
+		Placement asNew = decide(local, remote, maxReadingShare, objectiveMillis, readMillis, leftMillis);
+		if (asNew.hasPlace()) {
+			return asNew;
+		}
+		boolean forwards = remote.waitMillis() < local.waitMillis();
+		Estimate best = forwards ? remote : local;
+		if (!best.hasCapacity()) {
+			return new Placement(Action.QUEUE, Estimate.NO_CAPACITY);
+		}
+		return new Placement(forwards ? Action.FORWARD : Action.SERVE_LOCALLY, best.waitMillis());
+	}
+
 	/**
 	 * Returns the wait in milliseconds beyond which a request is refused, because its
 	 * answer and those of the requests behind it would be late. A request whose own
--- a/vanillatrestle-core/src/test/java/org/vanillatrestle/internal/gateway/PlacementTests.java
+++ b/vanillatrestle-core/src/test/java/org/vanillatrestle/internal/gateway/PlacementTests.java
@@ -1,5 +1,7 @@
 package org.vanillatrestle.internal.gateway;
 
+import java.util.stream.Stream;
+
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import net.jqwik.api.constraints.DoubleRange;
@@ -57,6 +59,28 @@
 		assertThat(decide(NONE, NONE)).isEqualTo(Placement.Action.QUEUE);
 	}
 
+	@Test
+	void shouldContinueABegunAnswerWhereANewRequestIsRefused() {
+		assertThat(decide(estimate(200, 0.9), NONE)).isEqualTo(Placement.Action.REFUSE);
+		assertThat(decideForBegunAnswer(estimate(200, 0.9), NONE)).isEqualTo(Placement.Action.SERVE_LOCALLY);
+		assertThat(decide(estimate(1_900, 0.5), NONE)).isEqualTo(Placement.Action.REFUSE);
+		assertThat(decideForBegunAnswer(estimate(1_900, 0.5), NONE)).isEqualTo(Placement.Action.SERVE_LOCALLY);
+		assertThat(decideForBegunAnswer(NONE, estimate(1_900, 0.9))).isEqualTo(Placement.Action.FORWARD);
+		assertThat(decideForBegunAnswer(estimate(1_900, 0.9), estimate(400, 0.9))).isEqualTo(Placement.Action.FORWARD);
+	}
+
+	@Property
+	void shouldRefuseNoBegunAnswer(@ForAll @LongRange(min = 0, max = 5_000) long localMillis,
+			@ForAll @DoubleRange(min = 0, max = 2) double localShare,
+			@ForAll @LongRange(min = 0, max = 5_000) long remoteMillis,
+			@ForAll @DoubleRange(min = 0, max = 2) double remoteShare) {
+		assertThat(Stream.of(decideForBegunAnswer(estimate(localMillis, localShare), NONE),
+				decideForBegunAnswer(NONE, estimate(remoteMillis, remoteShare)),
+				decideForBegunAnswer(estimate(localMillis, localShare), estimate(remoteMillis, remoteShare))))
+			.containsOnly(Placement.Action.SERVE_LOCALLY, Placement.Action.FORWARD);
+		assertThat(decideForBegunAnswer(NONE, NONE)).isEqualTo(Placement.Action.QUEUE);
+	}
+
 	@Property
 	void shouldNeverSendToATargetThatReadsTooMuch(@ForAll @LongRange(min = 0, max = 5_000) long localMillis,
 			@ForAll @DoubleRange(min = 0, max = 2) double localShare,
@@ -71,6 +95,10 @@
 		return Placement.decide(local, remote, 0.8, OBJECTIVE_MILLIS, 100, REMAINING_MILLIS).action();
 	}
 
+	private static Placement.Action decideForBegunAnswer(Placement.Estimate local, Placement.Estimate remote) {
+		return Placement.decideForBegunAnswer(local, remote, 0.8, OBJECTIVE_MILLIS, 100, REMAINING_MILLIS).action();
+	}
+
 	private static Placement.Estimate estimate(long waitMillis, double readingShare) {
 		return new Placement.Estimate(waitMillis, readingShare);
 	}
--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/PlacementPlan.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/PlacementPlan.java
@@ -64,6 +64,20 @@
 				context.targets().readMillis(shape), remainingMillis);
 	}
 
+	/**
+	 * Decides which of the two places continues an answer that has begun, if any.
+	 * @param context the VM's dependencies
+	 * @param route the request's route
+	 * @param shape the request
+	 * @param remainingMillis the time in milliseconds until the request's deadline
+	 * @return the decision
+	 */
+	Placement decideForBegunAnswer(GatewayContext context, DeclaredRoute route, RequestShape shape,
+			long remainingMillis) {
+		return Placement.decideForBegunAnswer(this.local, this.remote, shape.maxReadingShare(),
+				route.latencyObjectiveMillis(), context.targets().readMillis(shape), remainingMillis);
+	}
+
 	static boolean isServedInRegion(GatewayContext context, DeclaredRoute route, RequestShape shape) {
 		return route.allows(context.region()) && context.targets().hasTarget(shape.service());
 	}
--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/RequestRecorder.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/RequestRecorder.java
@@ -9,6 +9,7 @@
 import org.vanillatrestle.internal.gateway.Placement;
 import org.vanillatrestle.internal.gateway.RemoteEntries;
 import org.vanillatrestle.internal.gateway.RequestShape;
+import org.vanillatrestle.internal.gateway.StreamPatience;
 import org.vanillatrestle.internal.gateway.TargetChoice;
 import org.vanillatrestle.internal.quarantine.Admission;
 
@@ -66,6 +67,15 @@
 		}
 	}
 
+	/**
+	 * Checks whether the caller still waits for the next event of a stream, as far as its
+	 * route tells.
+	 * @return whether the stream has not been silent for too long
+	 */
+	boolean isCallerPatient() {
+		return this.clock.elapsedMillis() - this.timing.lastPartMillis() < StreamPatience.of(this.route).callerMillis();
+	}
+
 	void placed(TargetChoice choice, Admission admission) {
 		this.decisions.addTargetChoice(choice, this.clock.elapsedMillis(), this.clock.remainingMillis());
 		this.decisions.addProbe(admission, this.clock.elapsedMillis());
--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/ResponseTiming.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/ResponseTiming.java
@@ -44,6 +44,14 @@
 		return this.firstPartMillis;
 	}
 
+	/**
+	 * Returns when the last part was sent.
+	 * @return the time since the request arrived, 0 if no part was sent
+	 */
+	long lastPartMillis() {
+		return this.lastPartMillis;
+	}
+
 	long longestPauseMillis() {
 		return this.longestPauseMillis;
 	}
--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/RoutedRequest.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/RoutedRequest.java
@@ -125,7 +125,9 @@
 			return;
 		}
 		this.plan = choosePlan(admission);
-		Placement placement = this.plan.decide(this.context, this.route, this.shape, remainingMillis());
+		Placement placement = isBegun()
+				? this.plan.decideForBegunAnswer(this.context, this.route, this.shape, remainingMillis())
+				: this.plan.decide(this.context, this.route, this.shape, remainingMillis());
 		switch (placement.action()) {
 			case SERVE_LOCALLY, FORWARD ->
 				this.handover.begin(this.attemptFactory.create(this.plan, placement, admission, now));
@@ -135,7 +137,17 @@
 		}
 	}
 
+	// here, or at the VM that forwarded the request or the caller that sends it again
+	private boolean isBegun() {
+		return this.relay.isStarted() || (this.route.isStreaming() && this.details.resumeAfterEvent() >= 0);
+	}
+
 	private void waitForCapacity() {
+		if (isBegun() && this.recorder.isCallerPatient()
+				&& this.context.targets().hasUntriedTarget(this.shape.service(), this.attempts.triedTargets())) {
+			placeLater();
+			return;
+		}
 		OptionalLong reopenMillis = this.context.targets().reopensInMillis(this.shape.service(), System.nanoTime());
 		if (reopenMillis.isPresent() && this.clock.elapsedMillis() + reopenMillis.getAsLong() >= maxWaitMillis()) {
 			refuse((this.attempts.sendCount() == 0) ? GatewayError.NO_CAPACITY : GatewayError.NOT_RUN,
