Log what becomes of the replacement of a silent attempt

The logs did not tell a VM behind another that lost a replaced or withdrawn attempt from one whose caller left, nor why an attempt was kept. New lines: replacement-started, -took-over, -withdrawn and -failed, with both places. No decision is changed.

--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/AttemptHandover.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/AttemptHandover.java
@@ -3,6 +3,7 @@
 import java.util.Optional;
 
 import org.vanillatrestle.Verdict;
+import org.vanillatrestle.daemon.internal.logging.EventKind;
 
 /**
  * The attempts of one request that are in progress: the current one, whose response is
@@ -33,6 +34,7 @@
 
 	void beginReplacement(RoutedAttempt attempt) {
 		this.replacement = attempt;
+		record(EventKind.REPLACEMENT_STARTED, attempt);
 		attempt.start();
 	}
 
@@ -49,7 +51,9 @@
 	 */
 	void recordProgress() {
 		if (this.replacement != null) {
+			RoutedAttempt withdrawn = this.replacement;
 			this.request.recordWithdrawal(cancelReplacement());
+			record(EventKind.REPLACEMENT_WITHDRAWN, withdrawn);
 		}
 	}
 
@@ -58,6 +62,7 @@
 	 */
 	void takeOver() {
 		RoutedAttempt previous = this.current;
+		record(EventKind.REPLACEMENT_TOOK_OVER, this.replacement);
 		Optional<AttemptFailure> failure = previous.giveUp();
 		failure.ifPresent((stalled) -> this.request.recordFailure(previous, stalled));
 		continueWithReplacement();
@@ -79,12 +84,14 @@
 	boolean isLastInProgress(RoutedAttempt attempt) {
 		if (isReplacement(attempt)) {
 			this.replacement = null;
+			record(EventKind.REPLACEMENT_FAILED, attempt);
 			return false;
 		}
 		if (attempt != this.current) {
 			return false;
 		}
 		if (hasReplacement()) {
+			record(EventKind.REPLACEMENT_TOOK_OVER, this.replacement);
 			continueWithReplacement();
 			return false;
 		}
@@ -100,6 +107,10 @@
 		return verdict.and(cancelReplacement());
 	}
 
+	private void record(EventKind event, RoutedAttempt attempt) {
+		this.request.recorder().replacement(event, attempt.destination(), this.current.destination());
+	}
+
 	private Verdict cancelReplacement() {
 		RoutedAttempt cancelled = this.replacement;
 		this.replacement = null;
--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/RequestRecorder.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/RequestRecorder.java
@@ -113,6 +113,17 @@
 				"cacheTokens", target.totalLoad().cacheTokens(), "parts", this.timing.parts());
 	}
 
+	/**
+	 * Records what becomes of a replacement of an attempt that makes no progress.
+	 * @param event the event
+	 * @param destination the target or VM of the replacement
+	 * @param replaced the target or VM of the attempt that makes no progress
+	 */
+	void replacement(EventKind event, String destination, String replaced) {
+		this.decisions.add(event, this.clock.elapsedMillis(), "at", destination, "replaced", replaced, "sends",
+				this.attempts.sendCount(), "runs", this.attempts.possibleRuns(), "parts", this.timing.parts());
+	}
+
 	/**
 	 * Records that an answer is broken off after it has begun.
 	 * @param cause why it is not continued
--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/logging/EventKind.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/logging/EventKind.java
@@ -67,6 +67,18 @@
 	/** An attempt has made no progress for some time. */
 	ATTEMPT_STALLED,
 
+	/** Another attempt was started beside one that makes no progress. */
+	REPLACEMENT_STARTED,
+
+	/** A replacement began to answer, so that the attempt before it was given up. */
+	REPLACEMENT_TOOK_OVER,
+
+	/** A replacement was cancelled because the attempt before it makes progress again. */
+	REPLACEMENT_WITHDRAWN,
+
+	/** A replacement failed or was refused, and the attempt before it is kept. */
+	REPLACEMENT_FAILED,
+
 	/** An answer that had begun was broken off. */
 	ANSWER_CUT,
 	/** A request is retried on another target. */
