Tell the forwarding VM which target answers

A VM that forwards a request learned the targets that it had reached from errors only. A replacement of a silent answer that went by way of a second VM of the same region could so reach the silent target again, which ran it twice.

--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/AttemptHandover.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/AttemptHandover.java
@@ -2,6 +2,7 @@
 
 import java.util.Optional;
 
+import org.vanillatrestle.RegionId;
 import org.vanillatrestle.Verdict;
 import org.vanillatrestle.daemon.internal.logging.EventKind;
 
@@ -38,6 +39,14 @@
 		attempt.start();
 	}
 
+	/**
+	 * Returns the region where the current attempt is at an unknown target.
+	 * @return the region, empty if the target is known
+	 */
+	Optional<RegionId> unansweredRegion() {
+		return this.current.unansweredRegion();
+	}
+
 	boolean hasReplacement() {
 		return this.replacement != null;
 	}
@@ -52,7 +61,7 @@
 	void recordProgress() {
 		if (this.replacement != null) {
 			RoutedAttempt withdrawn = this.replacement;
-			this.request.recordWithdrawal(cancelReplacement());
+			this.request.attempts().recordRun(cancelReplacement());
 			record(EventKind.REPLACEMENT_WITHDRAWN, withdrawn);
 		}
 	}
--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/PlacementPlan.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/PlacementPlan.java
@@ -2,6 +2,7 @@
 
 import java.util.Optional;
 
+import org.vanillatrestle.RegionId;
 import org.vanillatrestle.internal.declaration.DeclaredRoute;
 import org.vanillatrestle.internal.gateway.Placement;
 import org.vanillatrestle.internal.gateway.RemoteEntries;
@@ -32,15 +33,19 @@
 	 * @param shape the request
 	 * @param attempts the attempts made so far
 	 * @param mayForward whether VMs of other regions may serve the request
+	 * @param avoided a region that must not get the request, because an attempt is in
+	 * progress at an unknown target there
 	 * @return the plan
 	 */
 	static PlacementPlan choose(GatewayContext context, DeclaredRoute route, RequestShape shape,
-			AttemptHistory attempts, boolean mayForward) {
+			AttemptHistory attempts, boolean mayForward, Optional<RegionId> avoided) {
 		long now = System.nanoTime();
 		Optional<TargetChoice> target = route.allows(context.region())
 				? context.targets().choose(shape, attempts.triedTargets(), now) : Optional.empty();
 		Optional<RemoteEntries.RemoteChoice> vm = mayForward
-				? context.remoteVms().choose(route, shape.service().name(), attempts::isUntried, now)
+				? context.remoteVms()
+					.choose(route, shape.service().name(),
+							(entry) -> attempts.isUntried(entry) && !avoided.equals(Optional.of(entry.region())), now)
 				: Optional.empty();
 		long readMillis = context.targets().readMillis(shape);
 		return new PlacementPlan(target, vm,
--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/RoutedAttempt.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/RoutedAttempt.java
@@ -4,12 +4,14 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.HttpHeaders;
+import org.vanillatrestle.RegionId;
 import org.vanillatrestle.TargetId;
 import org.vanillatrestle.Verdict;
 import org.vanillatrestle.daemon.internal.logging.EventKind;
 import org.vanillatrestle.daemon.internal.pipeline.AnswerHead;
 import org.vanillatrestle.daemon.internal.pipeline.AttemptHandle;
 import org.vanillatrestle.daemon.internal.pipeline.AttemptListener;
+import org.vanillatrestle.daemon.internal.pipeline.HeaderNames;
 import org.vanillatrestle.daemon.internal.target.TargetRequest;
 import org.vanillatrestle.daemon.protocol.AnswerMetadata;
 import org.vanillatrestle.internal.gateway.InFlightRequest;
@@ -151,6 +153,15 @@
 				"no progress for " + stalledMillis + " ms, another attempt has begun"));
 	}
 
+	/**
+	 * Returns the region of the VM to which the attempt was sent and which has not said
+	 * which target answers.
+	 * @return the region, empty if the target is known
+	 */
+	Optional<RegionId> unansweredRegion() {
+		return this.remoteRequest.filter((inFlight) -> this.status == 0).map((inFlight) -> inFlight.choice().region());
+	}
+
 	String destination() {
 		return this.destination;
 	}
@@ -184,6 +195,11 @@
 		this.hasKnownLength = head.hasLength();
 		if (this.remoteRequest.isPresent()) {
 			this.remoteError = RemoteError.read(head.headers()).orElse(null);
+			this.request.attempts().excludeTargets(RemoteError.split(head.headers().get(HeaderNames.ANSWERING_TARGET)));
+		}
+		head.headers().remove(HeaderNames.ANSWERING_TARGET);
+		if (this.request.isForwarded()) {
+			target().ifPresent((id) -> head.headers().set(HeaderNames.ANSWERING_TARGET, id.value()));
 		}
 		this.targetRequest.ifPresent((inFlight) -> TargetStatements.apply(this.responseFacts, inFlight, this.request));
 		if (this.status / 100 == 2 && !this.responseFacts.signed()) {
@@ -226,7 +242,7 @@
 			recordProgress(System.nanoTime());
 		}
 		if (eventSent) {
-			this.request.onPartSent();
+			this.request.recorder().partSent();
 		}
 		if (this.request.relay().hasGap()) {
 			this.handle.cancel();
--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/RoutedRequest.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/RoutedRequest.java
@@ -1,9 +1,11 @@
 package org.vanillatrestle.daemon.internal.gateway;
 
+import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
 
 import io.netty.util.concurrent.Future;
+import org.vanillatrestle.RegionId;
 import org.vanillatrestle.Verdict;
 import org.vanillatrestle.daemon.internal.http.ConnectionListener;
 import org.vanillatrestle.daemon.internal.logging.EventKind;
@@ -124,7 +126,7 @@
 			placeLater();
 			return;
 		}
-		this.plan = choosePlan(admission);
+		this.plan = choosePlan(admission, Optional.empty());
 		Placement placement = isBegun()
 				? this.plan.decideForBegunAnswer(this.context, this.route, this.shape, remainingMillis())
 				: this.plan.decide(this.context, this.route, this.shape, remainingMillis());
@@ -185,7 +187,7 @@
 		if (admission.action() == Admission.Action.REFUSE || admission.action() == Admission.Action.WAIT) {
 			return;
 		}
-		PlacementPlan replacementPlan = choosePlan(admission);
+		PlacementPlan replacementPlan = choosePlan(admission, this.handover.unansweredRegion());
 		Placement placement = replacementPlan.decide(this.context, this.route, this.shape, remainingMillis());
 		if (!placement.hasPlace() || !this.retryGate.tryReplace()) {
 			return;
@@ -196,10 +198,10 @@
 		this.handover.beginReplacement(this.attemptFactory.create(this.plan, placement, admission, now));
 	}
 
-	private PlacementPlan choosePlan(Admission admission) {
+	private PlacementPlan choosePlan(Admission admission, Optional<RegionId> avoided) {
 		boolean mayForward = !this.forwarded && (admission.action() != Admission.Action.PROBE
 				|| !PlacementPlan.isServedInRegion(this.context, this.route, this.shape));
-		return PlacementPlan.choose(this.context, this.route, this.shape, this.attempts, mayForward);
+		return PlacementPlan.choose(this.context, this.route, this.shape, this.attempts, mayForward, avoided);
 	}
 
 	/**
@@ -222,14 +224,6 @@
 		this.recorder.attemptFailed(failure, attempt.destination(), this.relay.lastEventId());
 	}
 
-	/**
-	 * Notes that a replacement was cancelled because the attempt before it goes on.
-	 * @param verdict whether the request may have run in the replacement
-	 */
-	void recordWithdrawal(Verdict verdict) {
-		this.attempts.recordRun(verdict);
-	}
-
 	/**
 	 * Retries or fails the request after a failed attempt, unless another attempt is in
 	 * progress.
@@ -286,9 +280,9 @@
 
 	private void respond(GatewayError error, long millisUntilRetry) {
 		if (this.forwarded) {
-			boolean hasMoreTargets = error == GatewayError.NOT_RUN
-					&& PlacementPlan.choose(this.context, this.route, this.shape, this.attempts, false)
-						.hasDestination();
+			boolean hasMoreTargets = error == GatewayError.NOT_RUN && PlacementPlan
+				.choose(this.context, this.route, this.shape, this.attempts, false, Optional.empty())
+				.hasDestination();
 			error.respondToVm(this.sink, millisUntilRetry, this.attempts.reachedTargets(), hasMoreTargets);
 			return;
 		}
@@ -365,6 +359,10 @@
 		return this.handover;
 	}
 
+	boolean isForwarded() {
+		return this.forwarded;
+	}
+
 	boolean isCallerWritable() {
 		return this.sink.isWritable();
 	}
@@ -393,8 +391,4 @@
 		return this.clock.remainingMillis();
 	}
 
-	void onPartSent() {
-		this.recorder.partSent();
-	}
-
 }
--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/pipeline/HeaderNames.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/pipeline/HeaderNames.java
@@ -51,6 +51,12 @@
 	 */
 	public static final AsciiString MORE_TARGETS = AsciiString.cached("Vanillatrestle-More-Targets");
 
+	/**
+	 * The target that answers, in answers to another VM. A VM removes it before it passes
+	 * the answer on.
+	 */
+	public static final AsciiString ANSWERING_TARGET = AsciiString.cached("Vanillatrestle-Answering-Target");
+
 	/**
 	 * The targets to which the request must not be sent again, in requests forwarded to
 	 * another VM.
