--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/AttemptHandover.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/AttemptHandover.java
@@ -2,7 +2,9 @@
 
 import java.util.Optional;
 
+import org.vanillatrestle.RegionId;
 import org.vanillatrestle.Verdict;
+import org.vanillatrestle.daemon.internal.logging.EventKind;
 
 /**
  * The attempts of one request that are in progress: the current one, whose response is
@@ -33,9 +35,18 @@
 
 	void beginReplacement(RoutedAttempt attempt) {
 		this.replacement = attempt;
+		record(EventKind.REPLACEMENT_STARTED, attempt);
 		attempt.start();
 	}
 
+	/**
+	 * Returns the region where the current attempt is at an unknown target.
+	 * @return the region, empty if the target is known
+	 */
+	Optional<RegionId> unansweredRegion() {
+		return this.current.unansweredRegion();
+	}
+
 	boolean hasReplacement() {
 		return this.replacement != null;
 	}
@@ -49,7 +60,9 @@
 	 */
 	void recordProgress() {
 		if (this.replacement != null) {
-			this.request.recordWithdrawal(cancelReplacement());
+			RoutedAttempt withdrawn = this.replacement;
+			this.request.attempts().recordRun(cancelReplacement());
+			record(EventKind.REPLACEMENT_WITHDRAWN, withdrawn);
 		}
 	}
 
@@ -58,6 +71,7 @@
 	 */
 	void takeOver() {
 		RoutedAttempt previous = this.current;
+		record(EventKind.REPLACEMENT_TOOK_OVER, this.replacement);
 		Optional<AttemptFailure> failure = previous.giveUp();
 		failure.ifPresent((stalled) -> this.request.recordFailure(previous, stalled));
 		continueWithReplacement();
@@ -79,12 +93,14 @@
 	boolean isLastInProgress(RoutedAttempt attempt) {
 		if (isReplacement(attempt)) {
 			this.replacement = null;
+			record(EventKind.REPLACEMENT_FAILED, attempt);
 			return false;
 		}
 		if (attempt != this.current) {
 			return false;
 		}
 		if (hasReplacement()) {
+			record(EventKind.REPLACEMENT_TOOK_OVER, this.replacement);
 			continueWithReplacement();
 			return false;
 		}
@@ -100,6 +116,10 @@
 		return verdict.and(cancelReplacement());
 	}
 
+	private void record(EventKind event, RoutedAttempt attempt) {
+		this.request.recorder().replacement(event, attempt.destination(), this.current.destination());
+	}
+
 	private Verdict cancelReplacement() {
 		RoutedAttempt cancelled = this.replacement;
 		this.replacement = null;
--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/RequestRecorder.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/RequestRecorder.java
@@ -9,6 +9,7 @@
 import org.vanillatrestle.internal.gateway.Placement;
 import org.vanillatrestle.internal.gateway.RemoteEntries;
 import org.vanillatrestle.internal.gateway.RequestShape;
+import org.vanillatrestle.internal.gateway.StreamPatience;
 import org.vanillatrestle.internal.gateway.TargetChoice;
 import org.vanillatrestle.internal.quarantine.Admission;
 
@@ -66,6 +67,15 @@
 		}
 	}
 
+	/**
+	 * Checks whether the caller still waits for the next event of a stream, as far as its
+	 * route tells.
+	 * @return whether the stream has not been silent for too long
+	 */
+	boolean isCallerPatient() {
+		return this.clock.elapsedMillis() - this.timing.lastPartMillis() < StreamPatience.of(this.route).callerMillis();
+	}
+
 	void placed(TargetChoice choice, Admission admission) {
 		this.decisions.addTargetChoice(choice, this.clock.elapsedMillis(), this.clock.remainingMillis());
 		this.decisions.addProbe(admission, this.clock.elapsedMillis());
@@ -103,6 +113,17 @@
 				"cacheTokens", target.totalLoad().cacheTokens(), "parts", this.timing.parts());
 	}
 
+	/**
+	 * Records what becomes of a replacement of an attempt that makes no progress.
+	 * @param event the event
+	 * @param destination the target or VM of the replacement
+	 * @param replaced the target or VM of the attempt that makes no progress
+	 */
+	void replacement(EventKind event, String destination, String replaced) {
+		this.decisions.add(event, this.clock.elapsedMillis(), "at", destination, "replaced", replaced, "sends",
+				this.attempts.sendCount(), "runs", this.attempts.possibleRuns(), "parts", this.timing.parts());
+	}
+
 	/**
 	 * Records that an answer is broken off after it has begun.
 	 * @param cause why it is not continued
