Continue a stream after an attempt that left an event out

After one attempt with a gap in its events, the gap stayed noted, so that no later attempt could continue the stream and the caller's answer was cut. A new attempt begins without it. EventStreamGapTests failed before (1 of 1 run) and passes.

--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/EventStreamAssembler.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/EventStreamAssembler.java
@@ -54,9 +54,10 @@
 	}
 
 	/**
-	 * Discards an incomplete event at the start of a new attempt.
+	 * Discards an incomplete event and a gap at the start of a new attempt.
 	 */
 	void beginAttempt() {
+		this.gap = false;
 		this.partial.clear();
 		this.searchedBytes = 0;
 		this.lastLineStart = 0;
