Copy no prompt parts from a target that a request has been sent to

A replacement of a silent attempt could be told to fetch the prompt from the very target that is silent, as the choice of a source looked at all targets. Tried targets are left out. Found by reading; no test fails without it.

--- a/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/gateway/GatewayTargets.java
+++ b/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/gateway/GatewayTargets.java
@@ -203,14 +203,16 @@
 	 * @return the choice, empty if no usable target has free capacity
 	 */
 	public Optional<TargetChoice> choose(RequestShape shape, Set<TargetId> tried, long nowNanos) {
-		return choose(shape, nowNanos, (target) -> this.eligibility.isEligible(target, shape.service(), nowNanos)
-				&& !tried.contains(target.id()));
+		return choose(shape, tried, nowNanos,
+				(target) -> this.eligibility.isEligible(target, shape.service(), nowNanos));
 	}
 
-	private Optional<TargetChoice> choose(RequestShape shape, long nowNanos, Predicate<GatewayTarget> usable) {
+	// a tried target may be silent, so that nothing is copied from it either
+	private Optional<TargetChoice> choose(RequestShape shape, Set<TargetId> tried, long nowNanos,
+			Predicate<GatewayTarget> usable) {
 		List<GatewayTarget> offered = this.targets.values()
 			.stream()
-			.filter((target) -> this.eligibility.isOffered(target, shape.service()))
+			.filter((target) -> this.eligibility.isOffered(target, shape.service()) && !tried.contains(target.id()))
 			.toList();
 		List<Candidate> candidates = new ArrayList<>();
 		SharedParts shared = SharedParts.of(shape, offered, speed(shape.service().name()), nowNanos);
@@ -365,8 +367,8 @@
 	 * @return the choice for a request without a prompt, empty if no target has capacity
 	 */
 	public Optional<TargetChoice> chooseForRemote(DeclaredService service, long pauseObjectiveMillis, long nowNanos) {
-		return choose(new RequestShape(service, 0, 0, List.of(), pauseObjectiveMillis, Double.MAX_VALUE), nowNanos,
-				(target) -> this.eligibility.isEligible(target, service, nowNanos)
+		return choose(new RequestShape(service, 0, 0, List.of(), pauseObjectiveMillis, Double.MAX_VALUE), Set.of(),
+				nowNanos, (target) -> this.eligibility.isEligible(target, service, nowNanos)
 						&& !this.eligibility.isRestricted(target, service, nowNanos));
 	}
 
