Hand over only to an answer that is of use

A replacement took over with its first bytes, so that a partial event, a gap or a truncated answer ended an attempt that works; one that was silent itself blocked any other; refused ones used up the sends that a later failure needs; and a caller that did not read made its attempt look stalled. Now ReplacementBuffer holds the answer until the next whole event, or all of a plain answer; a silent replacement is withdrawn where another may follow; one send is kept; no attempt is stalled while its caller does not read. Four faults of one mechanism, which share their code. A request that its caller resumes is placed as a new one; only a VM that got it forwarded treats it as begun.

--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/AttemptHandover.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/AttemptHandover.java
@@ -59,6 +59,13 @@
 	 * Notes progress of the current attempt, which makes its replacement needless.
 	 */
 	void recordProgress() {
+		withdrawReplacement();
+	}
+
+	/**
+	 * Cancels the replacement, if there is one, and keeps the current attempt.
+	 */
+	void withdrawReplacement() {
 		if (this.replacement != null) {
 			RoutedAttempt withdrawn = this.replacement;
 			this.request.attempts().recordRun(cancelReplacement());
--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/AttemptHistory.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/AttemptHistory.java
@@ -105,6 +105,16 @@
 		return this.sendCount < MAX_SENDS && this.possibleRuns < this.maxRuns;
 	}
 
+	/**
+	 * Checks whether a replacement may be sent beside attempts in progress. One send is
+	 * kept for the case that these fail.
+	 * @param inProgress the number of attempts in progress, all of which may have run
+	 * @return whether another attempt may follow
+	 */
+	boolean mayReplace(int inProgress) {
+		return this.sendCount + 1 < MAX_SENDS && this.possibleRuns + inProgress < this.maxRuns;
+	}
+
 	/**
 	 * Checks whether an attempt is left beside the one in progress.
 	 * @return whether another attempt may follow
--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/ProgressMonitor.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/ProgressMonitor.java
@@ -82,6 +82,15 @@
 		this.stallNoticed = false;
 	}
 
+	/**
+	 * Restarts the time without progress, because the caller has stopped or begun to
+	 * read.
+	 * @param nowNanos the monotonic time
+	 */
+	void restart(long nowNanos) {
+		this.progressNanos = nowNanos;
+	}
+
 	boolean hasProgressed() {
 		return this.hasProgressed;
 	}
--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/RetryGate.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/RetryGate.java
@@ -101,11 +101,12 @@
 	}
 
 	/**
-	 * Checks whether an attempt that makes no progress may have a replacement.
+	 * Checks whether a replacement may be started beside attempts that make no progress.
+	 * @param inProgress the number of attempts in progress
 	 * @return whether an attempt and retry budget are left
 	 */
-	boolean mayReplace() {
-		return hasAttemptsLeftAfterRun()
+	boolean mayReplace(int inProgress) {
+		return !this.forwarded && this.route.isRepeatable() && this.attempts.mayReplace(inProgress)
 				&& this.context.retryBudget().state(this.shape.service().name(), System.nanoTime()).left() >= 1;
 	}
 
--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/RoutedAttempt.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/RoutedAttempt.java
@@ -7,7 +7,6 @@
 import org.vanillatrestle.RegionId;
 import org.vanillatrestle.TargetId;
 import org.vanillatrestle.Verdict;
-import org.vanillatrestle.daemon.internal.logging.EventKind;
 import org.vanillatrestle.daemon.internal.pipeline.AnswerHead;
 import org.vanillatrestle.daemon.internal.pipeline.AttemptHandle;
 import org.vanillatrestle.daemon.internal.pipeline.AttemptListener;
@@ -62,6 +61,10 @@
 
 	private boolean done;
 
+	private final AttemptFailureRecorder failures;
+
+	private final ReplacementBuffer buffer;
+
 	private RoutedAttempt(RoutedRequest request, TargetAddress address, Optional<InFlightRequest> targetRequest,
 			Optional<PromptStart> promptStart, Optional<RemoteEntries.RemoteRequest> remoteRequest,
 			Optional<TargetAddress> copyFrom, String destination, long expectedMillis) {
@@ -73,6 +76,9 @@
 		this.copyFrom = copyFrom;
 		this.destination = destination;
 		this.progress = new ProgressMonitor(request.context().loop(), request.route(), expectedMillis, this::onStall);
+		this.failures = new AttemptFailureRecorder(request, targetRequest, remoteRequest);
+		this.buffer = new ReplacementBuffer(request.context().responseMemory(), request.route().isStreaming(),
+				request.relay().lastEventId());
 	}
 
 	static RoutedAttempt toTarget(RoutedRequest request, InFlightRequest inFlight, PromptStart promptStart,
@@ -102,7 +108,11 @@
 	}
 
 	private void onStall(long stalledMillis) {
+		if (!this.request.isCallerWritable()) {
+			return;
+		}
 		if (this.request.handover().isReplacement(this)) {
+			this.request.onReplacementStalled();
 			return;
 		}
 		if (this.progress.isFirstNotice()) {
@@ -114,21 +124,23 @@
 	private void end() {
 		this.done = true;
 		this.progress.stop();
+		this.buffer.close();
 	}
 
 	Optional<TargetId> target() {
 		return this.targetRequest.map((inFlight) -> inFlight.target().id());
 	}
 
-	/**
-	 * Continues as the attempt whose response is relayed.
-	 */
 	void becomeCurrent() {
 		if (this.unrelayedHead != null && !this.bodyDiscarded) {
 			this.request.relay().head(this.unrelayedHead);
 		}
 		this.unrelayedHead = null;
 		setReading(this.request.isCallerWritable());
+		ByteBuf received = this.buffer.take();
+		if (received.isReadable()) {
+			relayBody(received);
+		}
 	}
 
 	/**
@@ -143,12 +155,7 @@
 		long now = System.nanoTime();
 		this.promptStart.ifPresent(PromptStart::end);
 		long stalledMillis = this.progress.silentMillis(now);
-		// A target whose other answers go on has preempted this one or is busy.
-		if (this.targetRequest.filter((inFlight) -> inFlight.target().silentMillis(now) < stalledMillis).isPresent()) {
-			this.targetRequest.get().end();
-		}
-		recordTargetFailure(false, now);
-		this.remoteRequest.ifPresent((inFlight) -> recordRemoteFailure(inFlight, false));
+		this.failures.stalled(stalledMillis, now);
 		return Optional.of(AttemptFailure.stalled(this.handle.cancel(),
 				"no progress for " + stalledMillis + " ms, another attempt has begun"));
 	}
@@ -184,6 +191,7 @@
 	void setReading(boolean reading) {
 		if (!this.done) {
 			this.handle.setReading(reading);
+			this.progress.restart(System.nanoTime());
 		}
 	}
 
@@ -227,9 +235,21 @@
 			data.release();
 			return;
 		}
-		if (this.request.handover().isReplacement(this)) {
+		if (!this.request.handover().isReplacement(this)) {
+			relayBody(data);
+			return;
+		}
+		this.buffer.append(data);
+		if (this.buffer.isUnusable()) {
+			this.handle.cancel();
+			abandon(AttemptFailure.failed("the answer of the replacement is too long or an event is missing"));
+		}
+		else if (this.buffer.hasNextEvent()) {
 			this.request.handover().takeOver();
 		}
+	}
+
+	private void relayBody(ByteBuf data) {
 		boolean eventSent = this.request.relay().body(data);
 		if (this.request.relay().isTooLong()) {
 			this.handle.cancel();
@@ -266,6 +286,12 @@
 
 	@Override
 	public void onEnd() {
+		if (this.request.handover().isReplacement(this) && !this.bodyDiscarded && this.buffer.isWhole()) {
+			this.request.handover().takeOver();
+		}
+		if (this.done) {
+			return;
+		}
 		end();
 		long now = System.nanoTime();
 		if (this.responseFacts.notRun() || this.status / 100 != 2) {
@@ -284,12 +310,12 @@
 		boolean success = this.status / 100 == 2;
 		if (success && this.responseFacts.encoded()) {
 			this.promptStart.ifPresent(PromptStart::end);
-			recordTargetFailure(false, now);
+			this.failures.targetFailed(false, now);
 			this.request.onAttemptFailed(this, AttemptFailure.failed("the response body has an unexpected encoding"));
 			return;
 		}
 		if (!success && (this.bodyDiscarded || this.request.relay().isStarted()
-				|| (this.status >= 500 && mayOtherAttemptAnswer()))) {
+				|| (this.status >= 500 && this.request.mayOtherAttemptAnswer()))) {
 			this.targetRequest.ifPresent((inFlight) -> inFlight.answeredWithError(now));
 			if (!this.bodyDiscarded && !this.request.relay().isStarted()) {
 				this.request.relay().storeResponse();
@@ -297,10 +323,7 @@
 			this.request.onAttemptFailed(this, AttemptFailure.failed("status " + this.status));
 			return;
 		}
-		if (this.request.handover().isReplacement(this)) {
-			this.request.handover().takeOver();
-		}
-		if (!this.request.relay().end()) {
+		if (this.request.handover().isReplacement(this) || !this.request.relay().end()) {
 			AttemptFailure failure = AttemptFailure.failed("the stream ended in the middle of an event");
 			this.targetRequest.ifPresentOrElse((inFlight) -> breakOff(inFlight, failure),
 					() -> this.request.onAttemptFailed(this, failure));
@@ -320,10 +343,6 @@
 		this.request.onResponseDelivered();
 	}
 
-	private boolean mayOtherAttemptAnswer() {
-		return this.request.handover().hasReplacement() || this.request.retryGate().hasAttemptsLeftAfterRun();
-	}
-
 	@Override
 	public void onFailure(Verdict verdict, String detail) {
 		if (this.done) {
@@ -350,7 +369,7 @@
 
 	// the target closed the connection before the answer was complete
 	private void breakOff(InFlightRequest inFlight, AttemptFailure failure) {
-		recordTargetFailure(false, System.nanoTime());
+		this.failures.targetFailed(false, System.nanoTime());
 		this.request.recordFailure(this, failure);
 		TargetCrashMonitor crashes = this.request.context().crashMonitor();
 		boolean hasSharedParts = !inFlight.sharedParts().isEmpty();
@@ -372,29 +391,8 @@
 		end();
 		this.promptStart.ifPresent(PromptStart::end);
 		boolean unreachable = !failure.reachedTarget();
-		recordTargetFailure(unreachable, System.nanoTime());
-		this.remoteRequest.ifPresent((inFlight) -> recordRemoteFailure(inFlight, unreachable));
+		this.failures.failed(unreachable, System.nanoTime());
 		this.request.onAttemptFailed(this, failure);
 	}
 
-	private void recordRemoteFailure(RemoteEntries.RemoteRequest inFlight, boolean unreachable) {
-		if (inFlight.failed(unreachable, System.nanoTime())) {
-			this.request.context()
-				.telemetry()
-				.log(EventKind.REGION_UNREACHABLE, "region", inFlight.choice().region(), "vm", inFlight.choice().vm(),
-						"request", this.request.id());
-		}
-	}
-
-	private void recordTargetFailure(boolean unreachable, long now) {
-		this.targetRequest.ifPresent((inFlight) -> {
-			if (inFlight.failed(unreachable, now)) {
-				this.request.context()
-					.telemetry()
-					.log(EventKind.TARGET_EJECTED, "target", this.destination, "unreachable", unreachable);
-				this.request.context().telemetry().count("ejections", this.request.shape().service().name().value());
-			}
-		});
-	}
-
 }
--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/RoutedRequest.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/RoutedRequest.java
@@ -139,9 +139,10 @@
 		}
 	}
 
-	// here, or at the VM that forwarded the request or the caller that sends it again
+	// here, or at the VM that forwarded the request
 	private boolean isBegun() {
-		return this.relay.isStarted() || (this.route.isStreaming() && this.details.resumeAfterEvent() >= 0);
+		return this.relay.isStarted()
+				|| (this.forwarded && this.route.isStreaming() && this.details.resumeAfterEvent() >= 0);
 	}
 
 	private void waitForCapacity() {
@@ -179,7 +180,7 @@
 	 * one and a place is free. The check and the start follow the same plan.
 	 */
 	void startReplacement() {
-		if (this.ended || this.handover.hasReplacement() || !this.retryGate.mayReplace()) {
+		if (this.ended || this.handover.hasReplacement() || !this.retryGate.mayReplace(1)) {
 			return;
 		}
 		long now = System.nanoTime();
@@ -198,6 +199,19 @@
 		this.handover.beginReplacement(this.attemptFactory.create(this.plan, placement, admission, now));
 	}
 
+	/**
+	 * Withdraws a replacement that makes no progress either, if another one may follow.
+	 */
+	void onReplacementStalled() {
+		if (this.retryGate.mayReplace(2)) {
+			this.handover.withdrawReplacement();
+		}
+	}
+
+	boolean mayOtherAttemptAnswer() {
+		return this.handover.hasReplacement() || this.retryGate.hasAttemptsLeftAfterRun();
+	}
+
 	private PlacementPlan choosePlan(Admission admission, Optional<RegionId> avoided) {
 		boolean mayForward = !this.forwarded && (admission.action() != Admission.Action.PROBE
 				|| !PlacementPlan.isServedInRegion(this.context, this.route, this.shape));
@@ -214,22 +228,12 @@
 		retryOrFail(attempt, failure);
 	}
 
-	/**
-	 * Notes that an attempt ended without a response to deliver.
-	 * @param attempt the attempt
-	 * @param failure the failure of the attempt
-	 */
 	void recordFailure(RoutedAttempt attempt, AttemptFailure failure) {
 		this.attempts.recordFailure(failure, attempt.target());
 		this.recorder.attemptFailed(failure, attempt.destination(), this.relay.lastEventId());
 	}
 
-	/**
-	 * Retries or fails the request after a failed attempt, unless another attempt is in
-	 * progress.
-	 * @param attempt the attempt
-	 * @param failure the failure of the attempt
-	 */
+	// unless another attempt is in progress
 	void retryOrFail(RoutedAttempt attempt, AttemptFailure failure) {
 		if (this.ended || !this.handover.isLastInProgress(attempt)) {
 			return;
@@ -375,10 +379,6 @@
 		return this.ended;
 	}
 
-	RetryGate retryGate() {
-		return this.retryGate;
-	}
-
 	String id() {
 		return this.details.requestId();
 	}
