Add a replay in which long answers are cut at their deadline (red)

Cause: nothing weighs how long an answer takes. An engine that reads prompts in each step makes an event in 0.6 s, so a stream that began in time cannot end before its deadline.

The test is tagged known-red.

--- a/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/gateway/RequestShape.java
+++ b/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/gateway/RequestShape.java
@@ -42,8 +42,11 @@
 	 * @return the share of the target's time
 	 */
 	public static double maxReadingShare(DeclaredRoute route) {
-		int rank = Math.max(0, Math.min(MAX_READING_SHARES.length - 1, route.priority()));
-		return MAX_READING_SHARES[rank];
+		return maxReadingShare(route.priority());
+	}
+
+	static double maxReadingShare(int priority) {
+		return MAX_READING_SHARES[Math.max(0, Math.min(MAX_READING_SHARES.length - 1, priority))];
 	}
 
 	/**
--- /dev/null
+++ b/vanillatrestle-core/src/test/java/org/vanillatrestle/internal/gateway/StreamReplayTests.java
@@ -0,0 +1,51 @@
+package org.vanillatrestle.internal.gateway;
+
+import java.util.ArrayList;
+import java.util.Map;
+import java.util.TreeMap;
+
+import org.junit.jupiter.api.Tag;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Guards against long answers that begin in time and are cut at their deadline. A step in
+ * which an engine reads prompts takes many times as long as one in which it does not, so
+ * an engine that is sent more prompts than it can read beside its streams ends only short
+ * answers, and all that it spent on the long ones is lost.
+ */
+class StreamReplayTests {
+
+	private static final int SEED_COUNT = 3;
+
+	private static final int ENGINE_COUNT = 3;
+
+	@Tag("known-red")
+	@ParameterizedTest
+	@ValueSource(doubles = { 0.8, 1, 1.3, 1.6 })
+	void shouldServeTheLargestAtLeastHalfAsOftenAsAll(double loadFactor) throws Exception {
+		Map<String, StreamReplay.Outcome> outcomes = replayAll(AnswerLoad.read("long-answers.csv").times(loadFactor));
+		System.out.println("long answers x " + loadFactor + ", worth " + worthShare(outcomes) + ": " + outcomes);
+		assertThat(outcomes.values()).allSatisfy((outcome) -> assertThat(outcome.largestServedShare())
+			.isGreaterThanOrEqualTo(outcome.servedShare() / 2));
+	}
+
+	private static double worthShare(Map<String, StreamReplay.Outcome> outcomes) {
+		return outcomes.values().stream().mapToDouble(StreamReplay.Outcome::earned).sum()
+				/ outcomes.values().stream().mapToDouble(StreamReplay.Outcome::owed).sum();
+	}
+
+	private static Map<String, StreamReplay.Outcome> replayAll(AnswerLoad load) {
+		Map<String, StreamReplay.Outcome> all = new TreeMap<>();
+		for (long seed = 1; seed <= SEED_COUNT; seed++) {
+			new StreamReplay(seed, ENGINE_COUNT).run(load)
+				.forEach((kind, outcome) -> all
+					.computeIfAbsent(kind, (key) -> new StreamReplay.Outcome(new ArrayList<>()))
+					.addAll(outcome));
+		}
+		return all;
+	}
+
+}
