--- a/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/gateway/GatewayTargets.java
+++ b/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/gateway/GatewayTargets.java
@@ -69,17 +69,11 @@
 	private static final double SLOW_READER_PAUSE_FRACTION = 0.95;
 
 	/**
-	 * A target at whose pace long answers take this share of the time that they have gets
-	 * fewer prompts to read, however short its pauses.
+	 * A target at whose pace long answers take this share of the time that they have
+	 * counts as a slow reader, however short its pauses.
 	 */
 	private static final double MAX_USED_TIME_SHARE = 0.5;
 
-	/**
-	 * What is added to the reading share of such a target, so that the least urgent
-	 * requests, which leave first, leave room for its streams.
-	 */
-	private static final double SLOW_PACE_READING_SHARE = 0.5;
-
 	/**
 	 * The cost added to a target whose reading share exceeds the request's limit. It is
 	 * larger than any wait, so that such a target is chosen only if all exceed the limit.
@@ -234,12 +228,12 @@
 			if (wait >= 0 && hasMemory(target, shape, unread)) {
 				wait += shared.copyMillis(target);
 				double readingShare = readingShare(target, nowNanos);
-				double harmfulShare = harmfulShare(shape, target, readingShare, nowNanos);
+				boolean slowReader = isSlowReader(shape, target, nowNanos);
 				double penalty = target.report().dataCentre().equals(this.dataCentre) ? 0 : OTHER_DATA_CENTRE_MILLIS;
-				double cost = penalty + cost(shape, wait, unread, target, harmfulShare, nowNanos)
+				double cost = penalty + cost(shape, wait, unread, target, slowReader ? readingShare : 0, nowNanos)
 						/ Math.max(0.1, 1 - target.health().failedShare());
-				candidates.add(new Candidate(target, wait, unread, readingShare, harmfulShare,
-						shared.copySource(target), cost));
+				candidates.add(
+						new Candidate(target, wait, unread, readingShare, slowReader, shared.copySource(target), cost));
 			}
 		}
 		return best(candidates, nowNanos);
@@ -258,7 +252,7 @@
 
 	// a stream's next event takes several engine steps, and each reads a piece of waiting
 	// prompts: at a slow reader these steps together exceed the pause objective
-	private static double streamDelayMillis(RequestShape shape, ServiceSpeed speed, long unread, GatewayTarget target,
+	private double streamDelayMillis(RequestShape shape, ServiceSpeed speed, long unread, GatewayTarget target,
 			long nowNanos) {
 		if (!isSlowReader(shape, target, nowNanos)) {
 			return 0;
@@ -270,17 +264,10 @@
 		return load.requests() * (after - before);
 	}
 
-	private static boolean isSlowReader(RequestShape shape, GatewayTarget target, long nowNanos) {
-		return target.longestPauseMillis(nowNanos) >= SLOW_READER_PAUSE_FRACTION * shape.pauseObjectiveMillis();
-	}
-
-	private double harmfulShare(RequestShape shape, GatewayTarget target, double readingShare, long nowNanos) {
-		double usedTimeShare = speed(shape.service().name()).answerPace()
-			.usedTimeShare(target.speed().eventMillis(nowNanos));
-		if (usedTimeShare >= MAX_USED_TIME_SHARE) {
-			return readingShare + SLOW_PACE_READING_SHARE;
-		}
-		return isSlowReader(shape, target, nowNanos) ? readingShare : 0;
+	private boolean isSlowReader(RequestShape shape, GatewayTarget target, long nowNanos) {
+		AnswerPace pace = speed(shape.service().name()).answerPace();
+		return target.longestPauseMillis(nowNanos) >= SLOW_READER_PAUSE_FRACTION * shape.pauseObjectiveMillis()
+				|| pace.usedTimeShare(target.speed().eventMillis(nowNanos)) >= MAX_USED_TIME_SHARE;
 	}
 
 	private Optional<TargetChoice> best(List<Candidate> candidates, long nowNanos) {
@@ -296,7 +283,7 @@
 		long ageMillis = (this.otherLoadsNanos != 0) ? (nowNanos - this.otherLoadsNanos) / NANOS_PER_MILLI : -1;
 		return Optional
 			.of(new TargetChoice(best.target(), Math.round(best.expectedMillis()), best.unread(), best.readingShare(),
-					best.harmfulShare(), best.target().totalLoad(), ageMillis, best.copyFrom(), runnerUp));
+					best.slowReader(), best.target().totalLoad(), ageMillis, best.copyFrom(), runnerUp));
 	}
 
 	private double readingShare(GatewayTarget target, long nowNanos) {
@@ -398,7 +385,7 @@
 	 * A target with free capacity for the request, and its estimates.
 	 */
 	private record Candidate(GatewayTarget target, double expectedMillis, long unread, double readingShare,
-			double harmfulShare, Optional<GatewayTarget> copyFrom, double cost) {
+			boolean slowReader, Optional<GatewayTarget> copyFrom, double cost) {
 	}
 
 }
--- a/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/gateway/RequestShape.java
+++ b/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/gateway/RequestShape.java
@@ -33,7 +33,7 @@
 	 * does not. Above such a share long answers miss their deadlines, so the least urgent
 	 * requests are rejected first.
 	 */
-	private static final double[] MAX_READING_SHARES = { 1.2, 1, 0.8 };
+	private static final double[] MAX_READING_SHARES = { 0.8, 0.6, 0.3 };
 
 	public RequestShape {
 		parts = List.copyOf(parts);
--- a/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/gateway/TargetChoice.java
+++ b/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/gateway/TargetChoice.java
@@ -16,9 +16,8 @@
  * they are not cached
  * @param readingShare the share of its time that the target spends reading prompts,
  * estimated from the tokens recently sent to it
- * @param harmfulReadingShare the reading share, weighted by how much it delays the
- * target's streams, 0 if it does not: pauses come near the objective, or long answers
- * near their deadlines
+ * @param slowReader whether pauses in the target's streams are so long, or their pace is
+ * so slow, that reading more prompts makes streams late
  * @param load the load that all VMs together had in flight at the target
  * @param loadAgeMillis the age in milliseconds of the load reported by the other VMs, -1
  * if none has reported yet
@@ -27,7 +26,16 @@
  * @param runnerUp the target ranked second, {@code null} if there was no other
  */
 public record TargetChoice(GatewayTarget target, long waitMillis, long unreadTokens, double readingShare,
-		double harmfulReadingShare, InFlightLoad load, long loadAgeMillis, Optional<GatewayTarget> copyFrom,
+		boolean slowReader, InFlightLoad load, long loadAgeMillis, Optional<GatewayTarget> copyFrom,
 		TargetId runnerUp) {
 
+	/**
+	 * Returns the share of its time that the target spends reading prompts, as far as
+	 * this delays its streams.
+	 * @return the reading share, 0 if the streams are not delayed
+	 */
+	public double harmfulReadingShare() {
+		return this.slowReader ? this.readingShare : 0;
+	}
+
 }
