Log what the target of a cut answer had said of itself, and who ended the attempt

attempt-failed, retried, retry-denied and answer-cut now hold the condition that the target last reported (ready, draining, gone, or restarted) and for how long this VM has known it; attempt-failed holds endedBy, peer or gateway; answer-cut holds the target or VM of the last attempt and the time since the last event. The lines stay bounded as before, by request and by kind of event.

A target that is removed at short notice also states the time it has left; reports don't carry it between VMs, so it is not logged.

--- a/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/gateway/GatewayTarget.java
+++ b/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/gateway/GatewayTarget.java
@@ -45,6 +45,8 @@
 
 	private long startedNanos;
 
+	private long conditionSinceNanos;
+
 	private long lastProgressNanos;
 
 	private InFlightLoad own;
@@ -78,6 +80,9 @@
 			this.pausedUntilNanos = nowNanos;
 			this.limiter = null;
 		}
+		if (this.report == null || restarted || this.report.condition() != newer.condition()) {
+			this.conditionSinceNanos = nowNanos;
+		}
 		applyLimit(newer.limit(), nowNanos);
 		this.report = newer;
 		this.coldUntilNanos = nowNanos + TimeUnit.MILLISECONDS.toNanos(newer.warmUpRemainingMillis());
@@ -182,6 +187,15 @@
 		return (nowNanos - this.lastProgressNanos) / NANOS_PER_MILLI;
 	}
 
+	/**
+	 * Returns the time since this VM learned of the target's present condition.
+	 * @param nowNanos the monotonic time
+	 * @return the time in milliseconds
+	 */
+	public long conditionMillis(long nowNanos) {
+		return (nowNanos - this.conditionSinceNanos) / NANOS_PER_MILLI;
+	}
+
 	public TargetReport report() {
 		return this.report;
 	}
--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/AttemptFailure.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/AttemptFailure.java
@@ -12,24 +12,55 @@
  * @param cause the kind of failure
  * @param verdict whether the request may have run in the attempt
  * @param reachedTarget whether the request may have arrived at a target
+ * @param endedBy who ended the attempt first
  * @param detail the failure in words, for the log
  */
-record AttemptFailure(Cause cause, Verdict verdict, boolean reachedTarget, String detail) {
+record AttemptFailure(Cause cause, Verdict verdict, boolean reachedTarget, EndedBy endedBy, String detail) {
 
 	static AttemptFailure unreachable(String detail) {
-		return new AttemptFailure(Cause.UNREACHABLE, Verdict.NOT_RUN, false, detail);
+		return new AttemptFailure(Cause.UNREACHABLE, Verdict.NOT_RUN, false, EndedBy.PEER, detail);
 	}
 
 	static AttemptFailure rejected(String detail) {
-		return new AttemptFailure(Cause.REJECTED, Verdict.NOT_RUN, true, detail);
+		return new AttemptFailure(Cause.REJECTED, Verdict.NOT_RUN, true, EndedBy.PEER, detail);
 	}
 
 	static AttemptFailure failed(String detail) {
-		return new AttemptFailure(Cause.FAILED, Verdict.MAY_HAVE_RUN, true, detail);
+		return new AttemptFailure(Cause.FAILED, Verdict.MAY_HAVE_RUN, true, EndedBy.PEER, detail);
+	}
+
+	static AttemptFailure abandoned(String detail) {
+		return new AttemptFailure(Cause.FAILED, Verdict.MAY_HAVE_RUN, true, EndedBy.GATEWAY, detail);
 	}
 
 	static AttemptFailure stalled(Verdict verdict, String detail) {
-		return new AttemptFailure(Cause.STALLED, verdict, verdict != Verdict.NOT_RUN, detail);
+		return new AttemptFailure(Cause.STALLED, verdict, verdict != Verdict.NOT_RUN, EndedBy.GATEWAY, detail);
+	}
+
+	// a request that has not run may still have arrived at a target there, which rejected
+	// it
+	static AttemptFailure remote(RemoteError error, int status) {
+		return new AttemptFailure(Cause.REMOTE_ERROR, error.verdict(), error.mayHaveReachedTarget(), EndedBy.PEER,
+				"the remote VM returned an error, status " + status + ", " + error);
+	}
+
+	/**
+	 * Who ended an attempt first.
+	 */
+	enum EndedBy {
+
+		/** The target or the other VM, by its answer or by the end of the connection. */
+		PEER,
+
+		/** This VM, while the connection was open. */
+		GATEWAY;
+
+		private final String label = name().toLowerCase(Locale.ROOT);
+
+		String label() {
+			return this.label;
+		}
+
 	}
 
 	/**
--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/AttemptHandover.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/AttemptHandover.java
@@ -5,6 +5,7 @@
 import org.vanillatrestle.RegionId;
 import org.vanillatrestle.Verdict;
 import org.vanillatrestle.daemon.internal.logging.EventKind;
+import org.vanillatrestle.internal.gateway.InFlightRequest;
 
 /**
  * The attempts of one request that are in progress: the current one, whose response is
@@ -47,6 +48,14 @@
 		return this.current.unansweredRegion();
 	}
 
+	/**
+	 * Returns the current attempt's request at its target.
+	 * @return the request, empty if another VM has it or there was no attempt
+	 */
+	Optional<InFlightRequest> targetRequest() {
+		return (this.current != null) ? this.current.targetRequest() : Optional.empty();
+	}
+
 	boolean hasReplacement() {
 		return this.replacement != null;
 	}
--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/RequestDecisionLog.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/RequestDecisionLog.java
@@ -1,11 +1,15 @@
 package org.vanillatrestle.daemon.internal.gateway;
 
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.List;
+import java.util.Locale;
+import java.util.Optional;
 
 import org.vanillatrestle.daemon.internal.logging.EventKind;
 import org.vanillatrestle.internal.fleet.RequestLimit;
 import org.vanillatrestle.internal.gateway.GatewayTarget;
+import org.vanillatrestle.internal.gateway.InFlightRequest;
 import org.vanillatrestle.internal.gateway.Placement;
 import org.vanillatrestle.internal.gateway.RemoteEntries;
 import org.vanillatrestle.internal.gateway.TargetChoice;
@@ -33,6 +37,29 @@
 		this.decisions.add(new Decision(kind, atMillis, fields));
 	}
 
+	/**
+	 * Adds a decision about an attempt, with the condition of its target.
+	 * @param kind the kind of event
+	 * @param atMillis the time since the request arrived
+	 * @param targetRequest the attempt's request, empty if it was sent to another VM
+	 * @param fields alternating field names and values
+	 */
+	void addWithTarget(EventKind kind, long atMillis, Optional<InFlightRequest> targetRequest, Object... fields) {
+		if (targetRequest.isEmpty()) {
+			add(kind, atMillis, fields);
+			return;
+		}
+		GatewayTarget target = targetRequest.get().target();
+		boolean restarted = target.report().startedMillis() != targetRequest.get().targetStartedMillis();
+		int end = fields.length;
+		Object[] all = Arrays.copyOf(fields, end + 4);
+		all[end] = "condition";
+		all[end + 1] = restarted ? "restarted" : target.report().condition().name().toLowerCase(Locale.ROOT);
+		all[end + 2] = "conditionMillis";
+		all[end + 3] = target.conditionMillis(System.nanoTime());
+		add(kind, atMillis, all);
+	}
+
 	/**
 	 * Adds the choice of a target.
 	 * @param choice the chosen target and the estimates on which the choice was based
--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/RequestRecorder.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/RequestRecorder.java
@@ -85,10 +85,10 @@
 		this.decisions.addRemoteChoice(choice, expectedMillis, local, this.clock.elapsedMillis());
 	}
 
-	void attemptFailed(AttemptFailure failure, String destination, long lastEventId) {
-		this.decisions.add(EventKind.ATTEMPT_FAILED, this.clock.elapsedMillis(), "at", destination, "verdict",
-				failure.verdict(), "reachedTarget", failure.reachedTarget(), "detail", failure.detail(), "lastEvent",
-				lastEventId);
+	void attemptFailed(AttemptFailure failure, RoutedAttempt attempt, long lastEventId) {
+		this.decisions.addWithTarget(EventKind.ATTEMPT_FAILED, this.clock.elapsedMillis(), attempt.targetRequest(),
+				"at", attempt.destination(), "verdict", failure.verdict(), "reachedTarget", failure.reachedTarget(),
+				"endedBy", failure.endedBy().label(), "detail", failure.detail(), "lastEvent", lastEventId);
 	}
 
 	/**
@@ -128,10 +128,13 @@
 	 * Records that an answer is broken off after it has begun.
 	 * @param cause why it is not continued
 	 * @param plan the estimates of the last placement
+	 * @param last the attempts, of which the current one was the last
 	 */
-	void answerCut(CutCause cause, PlacementPlan plan) {
+	void answerCut(CutCause cause, PlacementPlan plan, AttemptHandover last) {
 		this.context.telemetry().countCut(service(), cause.label());
-		this.decisions.add(EventKind.ANSWER_CUT, this.clock.elapsedMillis(), "cause", cause.label(), "localWaitMillis",
+		this.decisions.addWithTarget(EventKind.ANSWER_CUT, this.clock.elapsedMillis(), last.targetRequest(), "cause",
+				cause.label(), "at", last.destination(), "silentMillis",
+				this.clock.elapsedMillis() - this.timing.lastPartMillis(), "localWaitMillis",
 				plan.local().loggedWaitMillis(), "localStrain", plan.local().harmfulReadingShare(), "remoteWaitMillis",
 				plan.remote().loggedWaitMillis(), "remoteStrain", plan.remote().harmfulReadingShare(), "parts",
 				this.timing.parts(), "remainingMillis", this.clock.remainingMillis());
--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/RetryGate.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/RetryGate.java
@@ -6,6 +6,7 @@
 import org.vanillatrestle.Verdict;
 import org.vanillatrestle.daemon.internal.logging.EventKind;
 import org.vanillatrestle.internal.declaration.DeclaredRoute;
+import org.vanillatrestle.internal.gateway.InFlightRequest;
 import org.vanillatrestle.internal.gateway.RequestShape;
 import org.vanillatrestle.internal.gateway.RetryBudget;
 import org.vanillatrestle.internal.quarantine.Admission;
@@ -49,21 +50,24 @@
 	 * Requests permission to send the request again. A permitted retry is charged to the
 	 * budget if the failed attempt may have reached a target.
 	 * @param failure the failure of the last attempt
+	 * @param attempt the last attempt
 	 * @return whether another attempt may follow
 	 */
-	boolean tryRetry(AttemptFailure failure) {
+	boolean tryRetry(AttemptFailure failure, RoutedAttempt attempt) {
 		RetryBudget.State budget = this.context.retryBudget().state(this.shape.service().name(), System.nanoTime());
 		Optional<Denial> denial = findDenial(failure);
-		record(failure.cause(), denial, failure.reachedTarget() ? "charged" : "free", budget);
+		record(failure.cause(), denial, failure.reachedTarget() ? "charged" : "free", budget, attempt.targetRequest());
 		return denial.isEmpty();
 	}
 
-	private void record(AttemptFailure.Cause cause, Optional<Denial> denial, String granted, RetryBudget.State budget) {
+	private void record(AttemptFailure.Cause cause, Optional<Denial> denial, String granted, RetryBudget.State budget,
+			Optional<InFlightRequest> targetRequest) {
 		String outcome = denial.map(Denial::label).orElse(granted);
-		this.decisions.add(denial.isEmpty() ? EventKind.RETRIED : EventKind.RETRY_DENIED, this.clock.elapsedMillis(),
-				"cause", cause.label(), "outcome", outcome, "sends", this.attempts.sendCount(), "runs",
-				this.attempts.possibleRuns(), "budgetLeft", Math.floor(budget.left()), "requests", budget.requests(),
-				"retries", budget.retries(), "vms", budget.vmCount());
+		this.decisions.addWithTarget(denial.isEmpty() ? EventKind.RETRIED : EventKind.RETRY_DENIED,
+				this.clock.elapsedMillis(), targetRequest, "cause", cause.label(), "outcome", outcome, "sends",
+				this.attempts.sendCount(), "runs", this.attempts.possibleRuns(), "budgetLeft",
+				Math.floor(budget.left()), "requests", budget.requests(), "retries", budget.retries(), "vms",
+				budget.vmCount());
 		this.context.telemetry().countRetry(this.shape.service().name().value(), cause.label(), outcome);
 	}
 
@@ -112,13 +116,14 @@
 
 	/**
 	 * Charges a replacement of an attempt that makes no progress to the retry budget.
+	 * @param targetRequest the attempt's request, empty if it was sent to another VM
 	 * @return whether the replacement may be started
 	 */
-	boolean tryReplace() {
+	boolean tryReplace(Optional<InFlightRequest> targetRequest) {
 		RetryBudget.State budget = this.context.retryBudget().state(this.shape.service().name(), System.nanoTime());
 		boolean isGranted = this.context.retryBudget().tryRetry(this.shape.service().name(), System.nanoTime());
 		record(AttemptFailure.Cause.STALLED, isGranted ? Optional.empty() : Optional.of(Denial.BUDGET), "charged",
-				budget);
+				budget, targetRequest);
 		return isGranted;
 	}
 
--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/RoutedAttempt.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/RoutedAttempt.java
@@ -131,6 +131,10 @@
 		return this.targetRequest.map((inFlight) -> inFlight.target().id());
 	}
 
+	Optional<InFlightRequest> targetRequest() {
+		return this.targetRequest;
+	}
+
 	void becomeCurrent() {
 		if (this.unrelayedHead != null && !this.bodyDiscarded) {
 			this.request.relay().head(this.unrelayedHead);
@@ -212,7 +216,7 @@
 		this.targetRequest.ifPresent((inFlight) -> TargetStatements.apply(this.responseFacts, inFlight, this.request));
 		if (this.status / 100 == 2 && !this.responseFacts.signed()) {
 			this.handle.cancel();
-			abandon(AttemptFailure.failed("the success response has no signature"));
+			abandon(AttemptFailure.abandoned("the success response has no signature"));
 			return;
 		}
 		if (this.status / 100 == 2) {
@@ -242,7 +246,7 @@
 		this.buffer.append(data);
 		if (this.buffer.isUnusable()) {
 			this.handle.cancel();
-			abandon(AttemptFailure.failed("the answer of the replacement is too long or an event is missing"));
+			abandon(AttemptFailure.abandoned("the answer of the replacement is too long or an event is missing"));
 		}
 		else if (this.buffer.hasNextEvent()) {
 			this.request.handover().takeOver();
@@ -253,7 +257,7 @@
 		boolean eventSent = this.request.relay().body(data);
 		if (this.request.relay().isTooLong()) {
 			this.handle.cancel();
-			abandon(AttemptFailure.failed("the answer is longer than any may be"));
+			abandon(AttemptFailure.abandoned("the answer is longer than any may be"));
 			return;
 		}
 		// Bytes count as progress only if they complete an event of a stream or belong to
@@ -266,7 +270,7 @@
 		}
 		if (this.request.relay().hasGap()) {
 			this.handle.cancel();
-			abandon(AttemptFailure.failed("the stream resumed with an event missing"));
+			abandon(AttemptFailure.abandoned("the stream resumed with an event missing"));
 		}
 	}
 
@@ -348,9 +352,9 @@
 		if (this.done) {
 			return;
 		}
-		boolean unreachable = verdict == Verdict.NOT_RUN;
-		AttemptFailure failure = unreachable ? AttemptFailure.unreachable(detail) : AttemptFailure.failed(detail);
-		if (unreachable || this.targetRequest.isEmpty()) {
+		AttemptFailure failure = (verdict == Verdict.NOT_RUN) ? AttemptFailure.unreachable(detail)
+				: AttemptFailure.failed(detail);
+		if (!failure.reachedTarget() || this.targetRequest.isEmpty()) {
 			abandon(failure);
 			return;
 		}
@@ -358,13 +362,9 @@
 		breakOff(this.targetRequest.get(), failure);
 	}
 
-	// a request that has not run may still have arrived at a target there, which rejected
-	// it
 	private void failRemotely(RemoteError error) {
-		AttemptFailure failure = new AttemptFailure(AttemptFailure.Cause.REMOTE_ERROR, error.verdict(),
-				error.mayHaveReachedTarget(), "the remote VM returned an error, status " + this.status + ", " + error);
 		this.request.attempts().recordRemoteError(this.remoteRequest.orElseThrow().choice(), error);
-		this.request.onAttemptFailed(this, failure);
+		this.request.onAttemptFailed(this, AttemptFailure.remote(error, this.status));
 	}
 
 	// the target closed the connection before the answer was complete
@@ -390,8 +390,7 @@
 		}
 		end();
 		this.promptStart.ifPresent(PromptStart::end);
-		boolean unreachable = !failure.reachedTarget();
-		this.failures.failed(unreachable, System.nanoTime());
+		this.failures.failed(!failure.reachedTarget(), System.nanoTime());
 		this.request.onAttemptFailed(this, failure);
 	}
 
--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/RoutedRequest.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/RoutedRequest.java
@@ -190,7 +190,7 @@
 		}
 		PlacementPlan replacementPlan = choosePlan(admission, this.handover.unansweredRegion());
 		Placement placement = replacementPlan.decide(this.context, this.route, this.shape, remainingMillis());
-		if (!placement.hasPlace() || !this.retryGate.tryReplace()) {
+		if (!placement.hasPlace() || !this.retryGate.tryReplace(this.handover.targetRequest())) {
 			return;
 		}
 		this.plan = replacementPlan;
@@ -230,7 +230,7 @@
 
 	void recordFailure(RoutedAttempt attempt, AttemptFailure failure) {
 		this.attempts.recordFailure(failure, attempt.target());
-		this.recorder.attemptFailed(failure, attempt.destination(), this.relay.lastEventId());
+		this.recorder.attemptFailed(failure, attempt, this.relay.lastEventId());
 	}
 
 	// unless another attempt is in progress
@@ -238,7 +238,7 @@
 		if (this.ended || !this.handover.isLastInProgress(attempt)) {
 			return;
 		}
-		if (this.retryGate.tryRetry(failure)) {
+		if (this.retryGate.tryRetry(failure, attempt)) {
 			this.context.telemetry().count("retries", service());
 			place();
 			return;
@@ -248,7 +248,7 @@
 
 	private void fail(GatewayError errorIfMayHaveRun, CutCause cutCause) {
 		if (this.relay.isStarted()) {
-			this.recorder.answerCut(cutCause, this.plan);
+			this.recorder.answerCut(cutCause, this.plan, this.handover);
 		}
 		if (this.relay.endIncomplete()) {
 			finish(EventKind.FAILED, errorIfMayHaveRun.name());
