Continue a begun answer although a part of its prompt is suspended

Callers got a stream cut in the middle if its engine failed while a part of its prompt was suspended, as other engines had crashed under other requests with that part.

An engine that has begun to answer has read the whole prompt and was not crashed by it. So a request of which an answer has begun passes the quarantine, for retries, replacements and at the VM that it is forwarded to.

Weighed: the part may be deadly after all for the next engine. Deadly parts crash engines before the first event, so that no request that holds one has begun; and a part is suspended at the earliest after three crashes with no answer in between. Should an engine break off before it begins to answer the continuation, the crash counts for the part as before, and the quarantine holds for this request again. So a begun answer costs at most one engine more than before, and requests that have not begun are held back as before.

Test: shouldContinueABegunAnswerOfWhichAPartIsSuspendedMeanwhile, which failed before for both VMs: retry-denied with outcome denied-suspended, then answer-cut with cause retry-denied, parts 3. PlatformDeadlyPartTests passes as it is.

--- a/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/quarantine/Admission.java
+++ b/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/quarantine/Admission.java
@@ -23,6 +23,14 @@
 		suspended = List.copyOf(suspended);
 	}
 
+	/**
+	 * Checks whether the request may not be sent now.
+	 * @return whether it has to wait or is refused
+	 */
+	public boolean isHeldBack() {
+		return this.action == Action.WAIT || this.action == Action.REFUSE;
+	}
+
 	/**
 	 * What is done with the request.
 	 */
--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/AttemptHistory.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/AttemptHistory.java
@@ -33,6 +33,8 @@
 
 	private boolean hasArrived;
 
+	private boolean hasBrokenStart;
+
 	private Verdict verdict = Verdict.NOT_RUN;
 
 	private int sendCount;
@@ -82,6 +84,29 @@
 		}
 	}
 
+	/**
+	 * Notes that a target has begun to answer.
+	 */
+	void recordStart() {
+		this.hasBrokenStart = false;
+	}
+
+	/**
+	 * Notes that an attempt broke off before the target began to answer.
+	 */
+	void recordBrokenStart() {
+		this.hasBrokenStart = true;
+	}
+
+	/**
+	 * Checks whether an attempt broke off before its target began to answer, and no
+	 * target has begun to answer since.
+	 * @return whether the prompt may have crashed the target
+	 */
+	boolean hasBrokenStart() {
+		return this.hasBrokenStart;
+	}
+
 	/**
 	 * Notes that another attempt follows while one is in progress at a target.
 	 */
--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/RetryGate.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/RetryGate.java
@@ -51,11 +51,12 @@
 	 * budget if the failed attempt may have reached a target.
 	 * @param failure the failure of the last attempt
 	 * @param attempt the last attempt
+	 * @param promptProven whether an engine has read the prompt and was not crashed by it
 	 * @return whether another attempt may follow
 	 */
-	boolean tryRetry(AttemptFailure failure, RoutedAttempt attempt) {
+	boolean tryRetry(AttemptFailure failure, RoutedAttempt attempt, boolean promptProven) {
 		RetryBudget.State budget = this.context.retryBudget().state(this.shape.service().name(), System.nanoTime());
-		Optional<Denial> denial = findDenial(failure);
+		Optional<Denial> denial = findDenial(failure, promptProven);
 		record(failure.cause(), denial, failure.reachedTarget() ? "charged" : "free", budget, attempt.targetRequest());
 		return denial.isEmpty();
 	}
@@ -71,7 +72,7 @@
 		this.context.telemetry().countRetry(this.shape.service().name().value(), cause.label(), outcome);
 	}
 
-	private Optional<Denial> findDenial(AttemptFailure failure) {
+	private Optional<Denial> findDenial(AttemptFailure failure, boolean promptProven) {
 		if (failure.verdict() != Verdict.NOT_RUN && !this.route.isRepeatable()) {
 			return Optional.of(Denial.MAY_HAVE_RUN);
 		}
@@ -84,7 +85,7 @@
 		if (this.clock.remainingMillis() <= 0) {
 			return Optional.of(Denial.DEADLINE);
 		}
-		if (isSuspended()) {
+		if (!promptProven && isSuspended()) {
 			return Optional.of(Denial.SUSPENDED);
 		}
 		boolean isGranted = !failure.reachedTarget()
--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/RoutedAttempt.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/RoutedAttempt.java
@@ -282,6 +282,7 @@
 			this.targetRequest.ifPresent((inFlight) -> inFlight.recordStreamPause(pauseMillis, now));
 		}
 		if (!hasProgressed && this.status / 100 == 2) {
+			this.request.attempts().recordStart();
 			this.promptStart.ifPresent((start) -> start.answerBegan(now));
 		}
 		this.progress.recordProgress(now);
@@ -374,6 +375,7 @@
 		TargetCrashMonitor crashes = this.request.context().crashMonitor();
 		boolean hasSharedParts = !inFlight.sharedParts().isEmpty();
 		if (hasSharedParts && !this.progress.hasProgressed()) {
+			this.request.attempts().recordBrokenStart();
 			crashes.requestBrokeOff(inFlight, this.request.id(), this.promptStart.orElseThrow(),
 					() -> this.request.retryOrFail(this, failure));
 			return;
--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/RoutedRequest.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/RoutedRequest.java
@@ -118,11 +118,12 @@
 		}
 		long now = System.nanoTime();
 		Admission admission = this.context.quarantine().admit(this.shape, now);
-		if (admission.action() == Admission.Action.REFUSE) {
+		if (!isPromptProven() && admission.action() == Admission.Action.REFUSE) {
 			refuseSuspended(admission);
 			return;
 		}
-		if (admission.action() == Admission.Action.WAIT && this.clock.elapsedMillis() < maxWaitMillis()) {
+		if (!isPromptProven() && admission.action() == Admission.Action.WAIT
+				&& this.clock.elapsedMillis() < maxWaitMillis()) {
 			placeLater();
 			return;
 		}
@@ -145,6 +146,11 @@
 				|| (this.forwarded && this.route.isStreaming() && this.details.resumeAfterEvent() >= 0);
 	}
 
+	// an engine that has begun to answer has read the prompt and was not crashed by it
+	private boolean isPromptProven() {
+		return isBegun() && !this.attempts.hasBrokenStart();
+	}
+
 	private void waitForCapacity() {
 		if (isBegun() && this.recorder.isCallerPatient()
 				&& this.context.targets().hasUntriedTarget(this.shape.service(), this.attempts.triedTargets())) {
@@ -185,7 +191,7 @@
 		}
 		long now = System.nanoTime();
 		Admission admission = this.context.quarantine().admit(this.shape, now);
-		if (admission.action() == Admission.Action.REFUSE || admission.action() == Admission.Action.WAIT) {
+		if (!isPromptProven() && admission.isHeldBack()) {
 			return;
 		}
 		PlacementPlan replacementPlan = choosePlan(admission, this.handover.unansweredRegion());
@@ -213,7 +219,7 @@
 	}
 
 	private PlacementPlan choosePlan(Admission admission, Optional<RegionId> avoided) {
-		boolean mayForward = !this.forwarded && (admission.action() != Admission.Action.PROBE
+		boolean mayForward = !this.forwarded && (isPromptProven() || admission.action() != Admission.Action.PROBE
 				|| !PlacementPlan.isServedInRegion(this.context, this.route, this.shape));
 		return PlacementPlan.choose(this.context, this.route, this.shape, this.attempts, mayForward, avoided);
 	}
@@ -238,7 +244,7 @@
 		if (this.ended || !this.handover.isLastInProgress(attempt)) {
 			return;
 		}
-		if (this.retryGate.tryRetry(failure, attempt)) {
+		if (this.retryGate.tryRetry(failure, attempt, isPromptProven())) {
 			this.context.telemetry().count("retries", service());
 			place();
 			return;
