Keep a quarter of the retry budget for answers that have begun

RetryBudget now keeps up to a quarter of a VM's part (RESERVED_FRACTION) for begun answers, and no more than there are such answers in progress at the VM that the callers asked. Repeats of requests whose answer has not begun and replacements of attempts that are merely silent leave it alone; a begun answer may use all that is left. The bound over all VMs is as before, as a VM's part is.

Weighed: a fixed share would take a quarter of the retries from services that have no streams, or none in progress, for nothing; without any share the requests that engines reject take all, as there are more of them.

RetryBudgetTests: three new ones; the former ones spend for requests that have not begun and hold the same figures, and the bound over all VMs is checked with both purposes and begun answers. RetryBudgetFleetTests spends for begun answers, which may use most.

--- a/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/gateway/RetryBudget.java
+++ b/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/gateway/RetryBudget.java
@@ -20,6 +20,9 @@
  * been known for a whole window: its predecessor may have used the part, and the other
  * VMs have to reduce theirs.
  * <p>
+ * As long as answers that have begun are in progress, a share is kept for their
+ * continuations: breaking them off wastes more than a new request that is refused.
+ * <p>
  * Invariant: in any window the retries granted here don't exceed this VM's part. Not
  * thread safe.
  */
@@ -33,6 +36,11 @@
 	 */
 	private static final double DIVIDED_ALLOWANCE_FRACTION = 0.6;
 
+	/**
+	 * Maximum fraction of this VM's part that only begun answers may use.
+	 */
+	private static final double RESERVED_FRACTION = 0.25;
+
 	/**
 	 * Time in which the VMs of a data centre learn of a new one.
 	 */
@@ -106,14 +114,34 @@
 		window(service, nowNanos).requests[0]++;
 	}
 
+	/**
+	 * Notes that a caller has got the first part of an answer, which a retry may have to
+	 * continue.
+	 * @param service the service of the request
+	 * @param nowNanos the monotonic time
+	 */
+	public void answerBegan(ServiceName service, long nowNanos) {
+		window(service, nowNanos).begunAnswers++;
+	}
+
+	/**
+	 * Notes that an answer that had begun has ended.
+	 * @param service the service of the request
+	 * @param nowNanos the monotonic time
+	 */
+	public void begunAnswerEnded(ServiceName service, long nowNanos) {
+		window(service, nowNanos).begunAnswers--;
+	}
+
 	/**
 	 * Requests permission for one retry.
 	 * @param service the service of the request
+	 * @param purpose what the retry is for
 	 * @param nowNanos the monotonic time
 	 * @return whether the retry may be sent; if so, it is counted
 	 */
-	public boolean tryRetry(ServiceName service, long nowNanos) {
-		if (state(service, nowNanos).left() < 1) {
+	public boolean tryRetry(ServiceName service, Purpose purpose, long nowNanos) {
+		if (state(service, purpose, nowNanos).left() < 1) {
 			return false;
 		}
 		window(service, nowNanos).retries[0]++;
@@ -123,15 +151,18 @@
 	/**
 	 * Returns the state of a service's budget.
 	 * @param service the service
+	 * @param purpose what a retry would be for
 	 * @param nowNanos the monotonic time
 	 * @return the state
 	 */
-	public State state(ServiceName service, long nowNanos) {
+	public State state(ServiceName service, Purpose purpose, long nowNanos) {
 		Window window = window(service, nowNanos);
 		long requests = sum(window.requests);
 		long retries = sum(window.retries);
 		double granted = GRANTED_REQUEST_FRACTION * this.ratio * requests + allowance(nowNanos);
-		return new State(requests, retries, this.vmCount, granted - retries);
+		double reserved = (purpose == Purpose.BEGUN_ANSWER) ? 0
+				: Math.min(RESERVED_FRACTION * granted, window.begunAnswers);
+		return new State(requests, retries, this.vmCount, granted - reserved - retries);
 	}
 
 	private double allowance(long nowNanos) {
@@ -153,6 +184,22 @@
 		return window;
 	}
 
+	/**
+	 * What a retry is for.
+	 */
+	public enum Purpose {
+
+		/** It continues an answer of which the caller has a part. */
+		BEGUN_ANSWER,
+
+		/**
+		 * It repeats a request whose answer has not begun, or runs beside an attempt that
+		 * is only silent.
+		 */
+		OTHER
+
+	}
+
 	/**
 	 * The state of the budget of one service.
 	 *
@@ -160,7 +207,7 @@
 	 * @param retries the retries granted in the window
 	 * @param vmCount the VMs among which the data centre's part of the allowance is
 	 * divided, 0 if this VM is not known to the control VMs
-	 * @param left the retries that may still be sent now
+	 * @param left the retries that may still be sent now for this purpose
 	 */
 	public record State(long requests, long retries, int vmCount, double left) {
 	}
@@ -174,6 +221,9 @@
 
 		private final long[] retries = new long[RETRY_BUCKET_COUNT];
 
+		// in progress at this VM, for the callers that asked it
+		private int begunAnswers;
+
 		private long currentBucket = Long.MIN_VALUE;
 
 		void advance(long newBucket) {
--- a/vanillatrestle-core/src/test/java/org/vanillatrestle/internal/gateway/RetryBudgetFleetTests.java
+++ b/vanillatrestle-core/src/test/java/org/vanillatrestle/internal/gateway/RetryBudgetFleetTests.java
@@ -177,7 +177,7 @@
 			long nowNanos = millis * MILLI_NANOS;
 			vm.budget.recordRequest(SERVICE, nowNanos);
 			for (int i = 0; i < MAX_RETRIES && this.random.nextDouble() < this.rejectedShare
-					&& vm.budget.tryRetry(SERVICE, nowNanos); i++) {
+					&& vm.budget.tryRetry(SERVICE, RetryBudget.Purpose.BEGUN_ANSWER, nowNanos); i++) {
 				this.retries[millis + 1]++;
 			}
 		}
--- a/vanillatrestle-core/src/test/java/org/vanillatrestle/internal/gateway/RetryBudgetTests.java
+++ b/vanillatrestle-core/src/test/java/org/vanillatrestle/internal/gateway/RetryBudgetTests.java
@@ -31,8 +31,8 @@
 	void shouldRefuseRetriesOnceTheAllowanceIsSpent() {
 		RetryBudget budget = knownBudget(0, 1);
 		assertThat(spend(budget, 0)).isBetween(30, 56);
-		assertThat(budget.tryRetry(SERVICE, WINDOW_NANOS / 2)).isFalse();
-		assertThat(budget.tryRetry(SERVICE, 2 * WINDOW_NANOS)).isTrue();
+		assertThat(budget.tryRetry(SERVICE, RetryBudget.Purpose.OTHER, WINDOW_NANOS / 2)).isFalse();
+		assertThat(budget.tryRetry(SERVICE, RetryBudget.Purpose.OTHER, 2 * WINDOW_NANOS)).isTrue();
 	}
 
 	@Test
@@ -60,6 +60,38 @@
 		assertThat(spend(budget, 0)).isBetween(7, 14);
 	}
 
+	@Test
+	void shouldKeepAShareForAnswersThatHaveBegun() {
+		RetryBudget budget = knownBudget(0, 1);
+		int whole = spend(knownBudget(0, 1), 0);
+		for (int i = 0; i < whole; i++) {
+			budget.answerBegan(SERVICE, 0);
+		}
+		int others = spend(budget, 0);
+		assertThat(others).isBetween(whole * 2 / 3, whole - 1);
+		assertThat(others + spend(budget, RetryBudget.Purpose.BEGUN_ANSWER, 0)).isEqualTo(whole);
+	}
+
+	@Test
+	void shouldKeepNoMoreThanTheBegunAnswersInProgressMayNeed() {
+		RetryBudget budget = knownBudget(0, 1);
+		int whole = spend(knownBudget(0, 1), 0);
+		budget.answerBegan(SERVICE, 0);
+		budget.answerBegan(SERVICE, 0);
+		assertThat(spend(budget, 0)).isEqualTo(whole - 2);
+		budget.begunAnswerEnded(SERVICE, 0);
+		budget.begunAnswerEnded(SERVICE, 0);
+		assertThat(spend(budget, 0)).isEqualTo(2);
+	}
+
+	@Test
+	void shouldKeepTheShareBeyondTheWindowInWhichTheAnswerBegan() {
+		RetryBudget budget = knownBudget(0, 1);
+		budget.answerBegan(SERVICE, 0);
+		spend(budget, 5 * WINDOW_NANOS);
+		assertThat(spend(budget, RetryBudget.Purpose.BEGUN_ANSWER, 5 * WINDOW_NANOS)).isEqualTo(1);
+	}
+
 	private static RetryBudget knownBudget(int number, int vmCount) {
 		RetryBudget budget = new RetryBudget(new VmId("vm-" + number), RATIO, ALLOWANCE, WINDOW_NANOS, 1, false);
 		budget.setMembers(vms(vmCount), -2 * WINDOW_NANOS);
@@ -73,8 +105,12 @@
 	}
 
 	private static int spend(RetryBudget budget, long nowNanos) {
+		return spend(budget, RetryBudget.Purpose.OTHER, nowNanos);
+	}
+
+	private static int spend(RetryBudget budget, RetryBudget.Purpose purpose, long nowNanos) {
 		int granted = 0;
-		while (budget.tryRetry(SERVICE, nowNanos)) {
+		while (budget.tryRetry(SERVICE, purpose, nowNanos)) {
 			granted++;
 		}
 		return granted;
@@ -97,8 +133,10 @@
 			if (random.nextInt(5) == 0) {
 				budget.recordRequest(SERVICE, nowNanos);
 				requests.add(nowNanos);
+				budget.answerBegan(SERVICE, nowNanos);
 			}
-			if (budget.tryRetry(SERVICE, nowNanos)) {
+			RetryBudget.Purpose purpose = RetryBudget.Purpose.values()[random.nextInt(2)];
+			if (budget.tryRetry(SERVICE, purpose, nowNanos)) {
 				retries.add(nowNanos);
 			}
 			assertThat(countInWindow(retries, nowNanos))
--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/RequestRecorder.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/RequestRecorder.java
@@ -39,6 +39,8 @@
 
 	private final ResponseTiming timing = new ResponseTiming();
 
+	private boolean begun;
+
 	RequestRecorder(GatewayContext context, DeclaredRoute route, RequestShape shape, String requestId,
 			RequestClock clock, AttemptHistory attempts, boolean forwarded) {
 		this.context = context;
@@ -57,10 +59,19 @@
 	void partSent() {
 		if (!this.timing.hasFirstPart()) {
 			this.context.telemetry().recordFirstPart(service(), this.clock.elapsedNanos());
+			recordBegun();
 		}
 		this.timing.recordPart(this.clock.elapsedMillis());
 	}
 
+	// the VM that the caller asked pays for the retries
+	private void recordBegun() {
+		this.begun = !this.forwarded;
+		if (this.begun) {
+			this.context.retryBudget().answerBegan(this.shape.service().name(), System.nanoTime());
+		}
+	}
+
 	void responseDelivered() {
 		if (!this.timing.hasFirstPart()) {
 			this.timing.recordPart(this.clock.elapsedMillis());
@@ -150,6 +161,9 @@
 	 * @param declarationVersion the version of the declaration that the request follows
 	 */
 	void finish(EventKind outcome, String reason, String destination, long declarationVersion) {
+		if (this.begun) {
+			this.context.retryBudget().begunAnswerEnded(this.shape.service().name(), System.nanoTime());
+		}
 		this.context.telemetry().recordCompletion(service(), outcome, reason, this.clock.elapsedNanos());
 		this.context.telemetry().recordSize(this.shape, outcome);
 		boolean isRoutine = outcome == EventKind.ANSWERED && this.attempts.sendCount() == 1 && this.timing
--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/RetryGate.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/RetryGate.java
@@ -51,12 +51,12 @@
 	 * budget if the failed attempt may have reached a target.
 	 * @param failure the failure of the last attempt
 	 * @param attempt the last attempt
-	 * @param promptProven whether an engine has read the prompt and was not crashed by it
+	 * @param begun whether the caller has a part of the answer
 	 * @return whether another attempt may follow
 	 */
-	boolean tryRetry(AttemptFailure failure, RoutedAttempt attempt, boolean promptProven) {
-		RetryBudget.State budget = this.context.retryBudget().state(this.shape.service().name(), System.nanoTime());
-		Optional<Denial> denial = findDenial(failure, promptProven);
+	boolean tryRetry(AttemptFailure failure, RoutedAttempt attempt, boolean begun) {
+		RetryBudget.State budget = budgetFor(purpose(begun));
+		Optional<Denial> denial = findDenial(failure, begun);
 		record(failure.cause(), denial, failure.reachedTarget() ? "charged" : "free", budget, attempt.targetRequest());
 		return denial.isEmpty();
 	}
@@ -72,7 +72,7 @@
 		this.context.telemetry().countRetry(this.shape.service().name().value(), cause.label(), outcome);
 	}
 
-	private Optional<Denial> findDenial(AttemptFailure failure, boolean promptProven) {
+	private Optional<Denial> findDenial(AttemptFailure failure, boolean begun) {
 		if (failure.verdict() != Verdict.NOT_RUN && !this.route.isRepeatable()) {
 			return Optional.of(Denial.MAY_HAVE_RUN);
 		}
@@ -85,14 +85,25 @@
 		if (this.clock.remainingMillis() <= 0) {
 			return Optional.of(Denial.DEADLINE);
 		}
-		if (!promptProven && isSuspended()) {
+		if ((!begun || this.attempts.hasBrokenStart()) && isSuspended()) {
 			return Optional.of(Denial.SUSPENDED);
 		}
-		boolean isGranted = !failure.reachedTarget()
-				|| this.context.retryBudget().tryRetry(this.shape.service().name(), System.nanoTime());
+		boolean isGranted = !failure.reachedTarget() || tryCharge(purpose(begun));
 		return isGranted ? Optional.empty() : Optional.of(Denial.BUDGET);
 	}
 
+	private static RetryBudget.Purpose purpose(boolean begun) {
+		return begun ? RetryBudget.Purpose.BEGUN_ANSWER : RetryBudget.Purpose.OTHER;
+	}
+
+	private RetryBudget.State budgetFor(RetryBudget.Purpose purpose) {
+		return this.context.retryBudget().state(this.shape.service().name(), purpose, System.nanoTime());
+	}
+
+	private boolean tryCharge(RetryBudget.Purpose purpose) {
+		return this.context.retryBudget().tryRetry(this.shape.service().name(), purpose, System.nanoTime());
+	}
+
 	private boolean isSuspended() {
 		return this.context.quarantine().admit(this.shape, System.nanoTime()).action() == Admission.Action.REFUSE;
 	}
@@ -112,7 +123,7 @@
 	 */
 	boolean mayReplace(int inProgress) {
 		return !this.forwarded && this.route.isRepeatable() && this.attempts.mayReplace(inProgress)
-				&& this.context.retryBudget().state(this.shape.service().name(), System.nanoTime()).left() >= 1;
+				&& budgetFor(RetryBudget.Purpose.OTHER).left() >= 1;
 	}
 
 	/**
@@ -121,8 +132,8 @@
 	 * @return whether the replacement may be started
 	 */
 	boolean tryReplace(Optional<InFlightRequest> targetRequest) {
-		RetryBudget.State budget = this.context.retryBudget().state(this.shape.service().name(), System.nanoTime());
-		boolean isGranted = this.context.retryBudget().tryRetry(this.shape.service().name(), System.nanoTime());
+		RetryBudget.State budget = budgetFor(RetryBudget.Purpose.OTHER);
+		boolean isGranted = tryCharge(RetryBudget.Purpose.OTHER);
 		record(AttemptFailure.Cause.STALLED, isGranted ? Optional.empty() : Optional.of(Denial.BUDGET), "charged",
 				budget, targetRequest);
 		return isGranted;
--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/RoutedRequest.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/RoutedRequest.java
@@ -244,7 +244,7 @@
 		if (this.ended || !this.handover.isLastInProgress(attempt)) {
 			return;
 		}
-		if (this.retryGate.tryRetry(failure, attempt, isPromptProven())) {
+		if (this.retryGate.tryRetry(failure, attempt, isBegun())) {
 			this.context.telemetry().count("retries", service());
 			place();
 			return;
