--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/RequestRecorder.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/RequestRecorder.java
@@ -39,6 +39,8 @@
 
 	private final ResponseTiming timing = new ResponseTiming();
 
+	private boolean begun;
+
 	RequestRecorder(GatewayContext context, DeclaredRoute route, RequestShape shape, String requestId,
 			RequestClock clock, AttemptHistory attempts, boolean forwarded) {
 		this.context = context;
@@ -57,10 +59,19 @@
 	void partSent() {
 		if (!this.timing.hasFirstPart()) {
 			this.context.telemetry().recordFirstPart(service(), this.clock.elapsedNanos());
+			recordBegun();
 		}
 		this.timing.recordPart(this.clock.elapsedMillis());
 	}
 
+	// the VM that the caller asked pays for the retries
+	private void recordBegun() {
+		this.begun = !this.forwarded;
+		if (this.begun) {
+			this.context.retryBudget().answerBegan(this.shape.service().name(), System.nanoTime());
+		}
+	}
+
 	void responseDelivered() {
 		if (!this.timing.hasFirstPart()) {
 			this.timing.recordPart(this.clock.elapsedMillis());
@@ -85,10 +96,10 @@
 		this.decisions.addRemoteChoice(choice, expectedMillis, local, this.clock.elapsedMillis());
 	}
 
-	void attemptFailed(AttemptFailure failure, String destination, long lastEventId) {
-		this.decisions.add(EventKind.ATTEMPT_FAILED, this.clock.elapsedMillis(), "at", destination, "verdict",
-				failure.verdict(), "reachedTarget", failure.reachedTarget(), "detail", failure.detail(), "lastEvent",
-				lastEventId);
+	void attemptFailed(AttemptFailure failure, RoutedAttempt attempt, long lastEventId) {
+		this.decisions.addWithTarget(EventKind.ATTEMPT_FAILED, this.clock.elapsedMillis(), attempt.targetRequest(),
+				"at", attempt.destination(), "verdict", failure.verdict(), "reachedTarget", failure.reachedTarget(),
+				"endedBy", failure.endedBy().label(), "detail", failure.detail(), "lastEvent", lastEventId);
 	}
 
 	/**
@@ -128,10 +139,13 @@
 	 * Records that an answer is broken off after it has begun.
 	 * @param cause why it is not continued
 	 * @param plan the estimates of the last placement
+	 * @param last the attempts, of which the current one was the last
 	 */
-	void answerCut(CutCause cause, PlacementPlan plan) {
+	void answerCut(CutCause cause, PlacementPlan plan, AttemptHandover last) {
 		this.context.telemetry().countCut(service(), cause.label());
-		this.decisions.add(EventKind.ANSWER_CUT, this.clock.elapsedMillis(), "cause", cause.label(), "localWaitMillis",
+		this.decisions.addWithTarget(EventKind.ANSWER_CUT, this.clock.elapsedMillis(), last.targetRequest(), "cause",
+				cause.label(), "at", last.destination(), "silentMillis",
+				this.clock.elapsedMillis() - this.timing.lastPartMillis(), "localWaitMillis",
 				plan.local().loggedWaitMillis(), "localStrain", plan.local().harmfulReadingShare(), "remoteWaitMillis",
 				plan.remote().loggedWaitMillis(), "remoteStrain", plan.remote().harmfulReadingShare(), "parts",
 				this.timing.parts(), "remainingMillis", this.clock.remainingMillis());
@@ -147,6 +161,9 @@
 	 * @param declarationVersion the version of the declaration that the request follows
 	 */
 	void finish(EventKind outcome, String reason, String destination, long declarationVersion) {
+		if (this.begun) {
+			this.context.retryBudget().begunAnswerEnded(this.shape.service().name(), System.nanoTime());
+		}
 		this.context.telemetry().recordCompletion(service(), outcome, reason, this.clock.elapsedNanos());
 		this.context.telemetry().recordSize(this.shape, outcome);
 		boolean isRoutine = outcome == EventKind.ANSWERED && this.attempts.sendCount() == 1 && this.timing
--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/RetryGate.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/RetryGate.java
@@ -6,6 +6,7 @@
 import org.vanillatrestle.Verdict;
 import org.vanillatrestle.daemon.internal.logging.EventKind;
 import org.vanillatrestle.internal.declaration.DeclaredRoute;
+import org.vanillatrestle.internal.gateway.InFlightRequest;
 import org.vanillatrestle.internal.gateway.RequestShape;
 import org.vanillatrestle.internal.gateway.RetryBudget;
 import org.vanillatrestle.internal.quarantine.Admission;
@@ -49,25 +50,29 @@
 	 * Requests permission to send the request again. A permitted retry is charged to the
 	 * budget if the failed attempt may have reached a target.
 	 * @param failure the failure of the last attempt
+	 * @param attempt the last attempt
+	 * @param begun whether the caller has a part of the answer
 	 * @return whether another attempt may follow
 	 */
-	boolean tryRetry(AttemptFailure failure) {
-		RetryBudget.State budget = this.context.retryBudget().state(this.shape.service().name(), System.nanoTime());
-		Optional<Denial> denial = findDenial(failure);
-		record(failure.cause(), denial, failure.reachedTarget() ? "charged" : "free", budget);
+	boolean tryRetry(AttemptFailure failure, RoutedAttempt attempt, boolean begun) {
+		RetryBudget.State budget = budgetFor(purpose(begun));
+		Optional<Denial> denial = findDenial(failure, begun);
+		record(failure.cause(), denial, failure.reachedTarget() ? "charged" : "free", budget, attempt.targetRequest());
 		return denial.isEmpty();
 	}
 
-	private void record(AttemptFailure.Cause cause, Optional<Denial> denial, String granted, RetryBudget.State budget) {
+	private void record(AttemptFailure.Cause cause, Optional<Denial> denial, String granted, RetryBudget.State budget,
+			Optional<InFlightRequest> targetRequest) {
 		String outcome = denial.map(Denial::label).orElse(granted);
-		this.decisions.add(denial.isEmpty() ? EventKind.RETRIED : EventKind.RETRY_DENIED, this.clock.elapsedMillis(),
-				"cause", cause.label(), "outcome", outcome, "sends", this.attempts.sendCount(), "runs",
-				this.attempts.possibleRuns(), "budgetLeft", Math.floor(budget.left()), "requests", budget.requests(),
-				"retries", budget.retries(), "vms", budget.vmCount());
+		this.decisions.addWithTarget(denial.isEmpty() ? EventKind.RETRIED : EventKind.RETRY_DENIED,
+				this.clock.elapsedMillis(), targetRequest, "cause", cause.label(), "outcome", outcome, "sends",
+				this.attempts.sendCount(), "runs", this.attempts.possibleRuns(), "budgetLeft",
+				Math.floor(budget.left()), "requests", budget.requests(), "retries", budget.retries(), "vms",
+				budget.vmCount());
 		this.context.telemetry().countRetry(this.shape.service().name().value(), cause.label(), outcome);
 	}
 
-	private Optional<Denial> findDenial(AttemptFailure failure) {
+	private Optional<Denial> findDenial(AttemptFailure failure, boolean begun) {
 		if (failure.verdict() != Verdict.NOT_RUN && !this.route.isRepeatable()) {
 			return Optional.of(Denial.MAY_HAVE_RUN);
 		}
@@ -80,14 +85,25 @@
 		if (this.clock.remainingMillis() <= 0) {
 			return Optional.of(Denial.DEADLINE);
 		}
-		if (isSuspended()) {
+		if ((!begun || this.attempts.hasBrokenStart()) && isSuspended()) {
 			return Optional.of(Denial.SUSPENDED);
 		}
-		boolean isGranted = !failure.reachedTarget()
-				|| this.context.retryBudget().tryRetry(this.shape.service().name(), System.nanoTime());
+		boolean isGranted = !failure.reachedTarget() || tryCharge(purpose(begun));
 		return isGranted ? Optional.empty() : Optional.of(Denial.BUDGET);
 	}
 
+	private static RetryBudget.Purpose purpose(boolean begun) {
+		return begun ? RetryBudget.Purpose.BEGUN_ANSWER : RetryBudget.Purpose.OTHER;
+	}
+
+	private RetryBudget.State budgetFor(RetryBudget.Purpose purpose) {
+		return this.context.retryBudget().state(this.shape.service().name(), purpose, System.nanoTime());
+	}
+
+	private boolean tryCharge(RetryBudget.Purpose purpose) {
+		return this.context.retryBudget().tryRetry(this.shape.service().name(), purpose, System.nanoTime());
+	}
+
 	private boolean isSuspended() {
 		return this.context.quarantine().admit(this.shape, System.nanoTime()).action() == Admission.Action.REFUSE;
 	}
@@ -107,18 +123,19 @@
 	 */
 	boolean mayReplace(int inProgress) {
 		return !this.forwarded && this.route.isRepeatable() && this.attempts.mayReplace(inProgress)
-				&& this.context.retryBudget().state(this.shape.service().name(), System.nanoTime()).left() >= 1;
+				&& budgetFor(RetryBudget.Purpose.OTHER).left() >= 1;
 	}
 
 	/**
 	 * Charges a replacement of an attempt that makes no progress to the retry budget.
+	 * @param targetRequest the attempt's request, empty if it was sent to another VM
 	 * @return whether the replacement may be started
 	 */
-	boolean tryReplace() {
-		RetryBudget.State budget = this.context.retryBudget().state(this.shape.service().name(), System.nanoTime());
-		boolean isGranted = this.context.retryBudget().tryRetry(this.shape.service().name(), System.nanoTime());
+	boolean tryReplace(Optional<InFlightRequest> targetRequest) {
+		RetryBudget.State budget = budgetFor(RetryBudget.Purpose.OTHER);
+		boolean isGranted = tryCharge(RetryBudget.Purpose.OTHER);
 		record(AttemptFailure.Cause.STALLED, isGranted ? Optional.empty() : Optional.of(Denial.BUDGET), "charged",
-				budget);
+				budget, targetRequest);
 		return isGranted;
 	}
 
--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/RoutedRequest.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/RoutedRequest.java
@@ -118,11 +118,12 @@
 		}
 		long now = System.nanoTime();
 		Admission admission = this.context.quarantine().admit(this.shape, now);
-		if (admission.action() == Admission.Action.REFUSE) {
+		if (!isPromptProven() && admission.action() == Admission.Action.REFUSE) {
 			refuseSuspended(admission);
 			return;
 		}
-		if (admission.action() == Admission.Action.WAIT && this.clock.elapsedMillis() < maxWaitMillis()) {
+		if (!isPromptProven() && admission.action() == Admission.Action.WAIT
+				&& this.clock.elapsedMillis() < maxWaitMillis()) {
 			placeLater();
 			return;
 		}
@@ -145,6 +146,11 @@
 				|| (this.forwarded && this.route.isStreaming() && this.details.resumeAfterEvent() >= 0);
 	}
 
+	// an engine that has begun to answer has read the prompt and was not crashed by it
+	private boolean isPromptProven() {
+		return isBegun() && !this.attempts.hasBrokenStart();
+	}
+
 	private void waitForCapacity() {
 		if (isBegun() && this.recorder.isCallerPatient()
 				&& this.context.targets().hasUntriedTarget(this.shape.service(), this.attempts.triedTargets())) {
@@ -185,12 +191,12 @@
 		}
 		long now = System.nanoTime();
 		Admission admission = this.context.quarantine().admit(this.shape, now);
-		if (admission.action() == Admission.Action.REFUSE || admission.action() == Admission.Action.WAIT) {
+		if (!isPromptProven() && admission.isHeldBack()) {
 			return;
 		}
 		PlacementPlan replacementPlan = choosePlan(admission, this.handover.unansweredRegion());
 		Placement placement = replacementPlan.decide(this.context, this.route, this.shape, remainingMillis());
-		if (!placement.hasPlace() || !this.retryGate.tryReplace()) {
+		if (!placement.hasPlace() || !this.retryGate.tryReplace(this.handover.targetRequest())) {
 			return;
 		}
 		this.plan = replacementPlan;
@@ -213,7 +219,7 @@
 	}
 
 	private PlacementPlan choosePlan(Admission admission, Optional<RegionId> avoided) {
-		boolean mayForward = !this.forwarded && (admission.action() != Admission.Action.PROBE
+		boolean mayForward = !this.forwarded && (isPromptProven() || admission.action() != Admission.Action.PROBE
 				|| !PlacementPlan.isServedInRegion(this.context, this.route, this.shape));
 		return PlacementPlan.choose(this.context, this.route, this.shape, this.attempts, mayForward, avoided);
 	}
@@ -230,7 +236,7 @@
 
 	void recordFailure(RoutedAttempt attempt, AttemptFailure failure) {
 		this.attempts.recordFailure(failure, attempt.target());
-		this.recorder.attemptFailed(failure, attempt.destination(), this.relay.lastEventId());
+		this.recorder.attemptFailed(failure, attempt, this.relay.lastEventId());
 	}
 
 	// unless another attempt is in progress
@@ -238,7 +244,7 @@
 		if (this.ended || !this.handover.isLastInProgress(attempt)) {
 			return;
 		}
-		if (this.retryGate.tryRetry(failure)) {
+		if (this.retryGate.tryRetry(failure, attempt, isBegun())) {
 			this.context.telemetry().count("retries", service());
 			place();
 			return;
@@ -248,7 +254,7 @@
 
 	private void fail(GatewayError errorIfMayHaveRun, CutCause cutCause) {
 		if (this.relay.isStarted()) {
-			this.recorder.answerCut(cutCause, this.plan);
+			this.recorder.answerCut(cutCause, this.plan, this.handover);
 		}
 		if (this.relay.endIncomplete()) {
 			finish(EventKind.FAILED, errorIfMayHaveRun.name());
