Log and count why a begun answer of a contracted route is cut

The decision was a debug line that named neither the cause nor the caller's position, so that a deadline could not be told from a retry that was denied or a target that was not there. Now each cut writes the event answer-cut (request, cause, detail, attempts, parts, remainingMillis, forwarded; at most 50 lines a second) and counts in vanillatrestle_answers_cut_total by cause. RetryPolicy names its denial; what it grants is unchanged.

The level of the event log is not set by LoggingSetup.apply, so that a daemon of contracted routes drops lines of this kind until it is; the metric does not depend on it.

--- a/vanillatrestle-bench/src/test/java/org/vanillatrestle/bench/serving/Regions.java
+++ b/vanillatrestle-bench/src/test/java/org/vanillatrestle/bench/serving/Regions.java
@@ -37,6 +37,8 @@
 
 	private static final String OPERATOR_KEY = "operator-key";
 
+	private static final long DEFAULT_GRACE_MILLIS = 30_000;
+
 	private static final int MAX_POLLS = 1_000;
 
 	private static final long POLL_MILLIS = 20;
@@ -48,12 +50,17 @@
 	private final List<VmSettings> vms = new ArrayList<>();
 
 	Regions(Path folder, String... names) throws IOException {
+		this(folder, DEFAULT_GRACE_MILLIS, names);
+	}
+
+	Regions(Path folder, long shutdownGraceMillis, String... names) throws IOException {
 		for (String name : names) {
 			this.vms.add(new VmSettings(new VmId(name + "-1"), new RegionId(name), new DataCentreId(name + "-a"),
 					Set.of(Role.values()), new HostAndPort("127.0.0.1", 0), new HostAndPort("127.0.0.1", freePort())));
 		}
 		for (VmSettings vm : this.vms) {
 			Settings settings = Settings.builder(vm, this.vms)
+				.shutdownGraceMillis(shutdownGraceMillis)
 				.dataFolder(Files.createDirectories(folder.resolve(vm.id().value())))
 				.operators(List.of(new OperatorSettings("ana", BearerKeys.sha256(OPERATOR_KEY))))
 				.build();
--- a/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/retry/RetryPolicy.java
+++ b/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/retry/RetryPolicy.java
@@ -2,6 +2,7 @@
 
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Optional;
 
 import org.apache.commons.rng.UniformRandomProvider;
 import org.vanillatrestle.CustomerId;
@@ -63,20 +64,35 @@
 	 * @return {@code true} if the request may be retried
 	 */
 	public boolean tryAcquireRetry(PolicyRequest request, Verdict verdict, int attempts, long nowNanos) {
-		int maxAttempts = request.isForwarded() ? maxAttemptsWhenForwarded() : this.settings.maxAttempts();
-		boolean retryable = verdict.permitsRepeat(request.repeat())
-				&& request.senderAttempts() + attempts < maxAttempts;
-		if (!retryable || request.deadlineNanos() - nowNanos <= this.settings.backoffNanos()) {
-			return false;
-		}
-		Budget budget = budget(request);
-		if (budget.retries < 1) {
+		if (findDenial(request, verdict, attempts, nowNanos).isPresent()) {
 			return false;
 		}
-		budget.retries--;
+		budget(request).retries--;
 		return true;
 	}
 
+	/**
+	 * Returns why a request may not be retried. Takes nothing from the budget.
+	 * @param request the request
+	 * @param verdict the combined verdict of all attempts so far
+	 * @param attempts the number of attempts so far, without the sender's
+	 * @param nowNanos the current monotonic time in nanoseconds
+	 * @return the reason, or empty if it may be retried
+	 */
+	public Optional<RetryDenial> findDenial(PolicyRequest request, Verdict verdict, int attempts, long nowNanos) {
+		if (!verdict.permitsRepeat(request.repeat())) {
+			return Optional.of(RetryDenial.NOT_REPEATABLE);
+		}
+		int maxAttempts = request.isForwarded() ? maxAttemptsWhenForwarded() : this.settings.maxAttempts();
+		if (request.senderAttempts() + attempts >= maxAttempts) {
+			return Optional.of(RetryDenial.ATTEMPTS);
+		}
+		if (request.deadlineNanos() - nowNanos <= this.settings.backoffNanos()) {
+			return Optional.of(RetryDenial.TIME);
+		}
+		return (budget(request).retries < 1) ? Optional.of(RetryDenial.BUDGET) : Optional.empty();
+	}
+
 	/**
 	 * Returns the number of attempts after a forwarded attempt that may have reached
 	 * targets. The receiving VM does not report its attempts, so that all that it was
--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/metrics/RequestMetrics.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/metrics/RequestMetrics.java
@@ -10,6 +10,8 @@
 import io.micrometer.core.instrument.Timer;
 import io.micrometer.prometheusmetrics.PrometheusConfig;
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
+import org.vanillatrestle.daemon.internal.pipeline.AnswerCut;
+import org.vanillatrestle.daemon.internal.pipeline.AnswerCutListener;
 import org.vanillatrestle.daemon.internal.pipeline.Exchange;
 import org.vanillatrestle.daemon.internal.pipeline.ExchangeListener;
 
@@ -18,7 +20,7 @@
  * <p>
  * Metrics are recorded on the VM's event loop and may be read by any thread.
  */
-public final class RequestMetrics implements ExchangeListener {
+public final class RequestMetrics implements ExchangeListener, AnswerCutListener {
 
 	private static final String UNKNOWN_TAG_VALUE = "unknown";
 
@@ -57,6 +59,16 @@
 		}
 	}
 
+	@Override
+	public void answerCut(Exchange exchange, AnswerCut cut) {
+		Counter.builder("vanillatrestle.answers.cut")
+			.tags("customer", exchange.contract().customer().value(), "service",
+					exchange.call().service().name().value(), "cause", cut.cause().label(), "forwarded",
+					Boolean.toString(exchange.isForwarded()))
+			.register(this.registry)
+			.increment();
+	}
+
 	private Counter counter(String name, String customer, String service) {
 		return Counter.builder(name).tags("customer", customer, "service", service).register(this.registry);
 	}
--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/node/ServingPart.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/node/ServingPart.java
@@ -28,6 +28,7 @@
 import org.vanillatrestle.daemon.internal.peer.PeerService;
 import org.vanillatrestle.daemon.internal.pipeline.AdmissionFilter;
 import org.vanillatrestle.daemon.internal.pipeline.AttemptStarter;
+import org.vanillatrestle.daemon.internal.pipeline.AnswerCutLog;
 import org.vanillatrestle.daemon.internal.pipeline.AuthenticateFilter;
 import org.vanillatrestle.daemon.internal.pipeline.ClassifyFilter;
 import org.vanillatrestle.daemon.internal.pipeline.DispatchFilter;
@@ -145,7 +146,8 @@
 				new PeerForwardAttempts(peers, this.contracts, this.random, System::nanoTime));
 		this.onceClient = new OnceClient(this.loop, this.settings, peers, once);
 		this.admission = new AdmissionFilter(this.loop, this.policy, System::nanoTime);
-		this.dispatch = new DispatchFilter(this.loop, this.policy, this.admission, starter, System::nanoTime);
+		this.dispatch = new DispatchFilter(this.loop, this.policy, this.admission, starter,
+				new AnswerCutLog(System::nanoTime).andThen(this.metrics), System::nanoTime);
 		ClassifyFilter classify = new ClassifyFilter();
 		RegionFilter regions = new RegionFilter(region, directory::entriesFor);
 		ClaimFilter claim = new ClaimFilter(this.loop, this.onceClient, this.settings.self().id(),
--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/pipeline/AttemptTracker.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/pipeline/AttemptTracker.java
@@ -1,6 +1,7 @@
 package org.vanillatrestle.daemon.internal.pipeline;
 
 import java.util.HashSet;
+import java.util.Optional;
 import java.util.Set;
 import java.util.function.LongSupplier;
 
@@ -14,6 +15,7 @@
 import org.vanillatrestle.internal.request.Placement;
 import org.vanillatrestle.internal.request.PolicyRequest;
 import org.vanillatrestle.internal.request.RefusalReason;
+import org.vanillatrestle.internal.retry.RetryDenial;
 
 /**
  * Obtains placements for the attempts of one request from the policy and reports the
@@ -109,17 +111,24 @@
 	}
 
 	/**
-	 * Returns how long to wait before the next attempt.
+	 * Charges a retry, if the request may have one.
 	 * @param verdict the combined verdict of all attempts so far
-	 * @return the delay in nanoseconds, or -1 if no further attempt may be made
+	 * @return why no further attempt may be made, or empty if the retry is charged
 	 */
-	long retryDelayNanos(Verdict verdict) {
-		if (!verdict.permitsRepeat(this.exchange.call().repeat())) {
-			return -1;
-		}
-		if (!tryAcquireRetry(verdict)) {
-			return -1;
+	Optional<RetryDenial> acquireRetry(Verdict verdict) {
+		Optional<RetryDenial> denial = this.policy.retries()
+			.findDenial(policyRequest(), verdict, attemptsAtAllVms(), nowNanos());
+		if (denial.isEmpty()) {
+			tryAcquireRetry(verdict);
 		}
+		return denial;
+	}
+
+	/**
+	 * Returns how long to wait before the next attempt.
+	 * @return the delay in nanoseconds, or -1 if the deadline passes before
+	 */
+	long retryDelayNanos() {
 		long delayNanos = this.policy.retries().backoffNanos(attemptsAtAllVms());
 		return (nowNanos() + delayNanos < this.exchange.deadlineNanos()) ? delayNanos : -1;
 	}
--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/pipeline/DispatchFilter.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/pipeline/DispatchFilter.java
@@ -22,6 +22,8 @@
 
 	private final AttemptStarter starter;
 
+	private final AnswerCutListener cutListener;
+
 	private final LongSupplier clockNanos;
 
 	private final Set<DispatchRun> activeRuns = new HashSet<>();
@@ -32,14 +34,16 @@
 	 * @param policy places attempts
 	 * @param admission queues requests that must wait before a retry
 	 * @param starter starts attempts
+	 * @param cutListener is told of answers that are broken off
 	 * @param clockNanos the monotonic clock in nanoseconds
 	 */
 	public DispatchFilter(EventLoop eventLoop, RequestPolicy policy, AdmissionFilter admission, AttemptStarter starter,
-			LongSupplier clockNanos) {
+			AnswerCutListener cutListener, LongSupplier clockNanos) {
 		this.eventLoop = eventLoop;
 		this.policy = policy;
 		this.admission = admission;
 		this.starter = starter;
+		this.cutListener = cutListener;
 		this.clockNanos = clockNanos;
 	}
 
@@ -47,7 +51,7 @@
 	public void apply(Exchange exchange, Continuation next) {
 		AttemptTracker tracker = new AttemptTracker(exchange, this.policy, this.clockNanos);
 		DispatchRun run = new DispatchRun(exchange, this.eventLoop, tracker, this.admission, this.starter,
-				this.activeRuns::remove);
+				this.cutListener, this.activeRuns::remove);
 		this.activeRuns.add(run);
 		run.start();
 	}
--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/pipeline/DispatchRun.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/pipeline/DispatchRun.java
@@ -1,5 +1,6 @@
 package org.vanillatrestle.daemon.internal.pipeline;
 
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 
@@ -10,6 +11,7 @@
 import org.vanillatrestle.Verdict;
 import org.vanillatrestle.internal.request.AttemptOutcome;
 import org.vanillatrestle.internal.request.Placement;
+import org.vanillatrestle.internal.retry.RetryDenial;
 
 /**
  * Makes the attempts of one request until the request is answered or has failed.
@@ -35,6 +37,8 @@
 
 	private final AttemptStarter starter;
 
+	private final AnswerCutListener cutListener;
+
 	private final Consumer<DispatchRun> completionListener;
 
 	private final RelaySelector relaySelector;
@@ -52,12 +56,13 @@
 	private boolean finished;
 
 	DispatchRun(Exchange exchange, EventLoop eventLoop, AttemptTracker tracker, AdmissionFilter admissionFilter,
-			AttemptStarter starter, Consumer<DispatchRun> completionListener) {
+			AttemptStarter starter, AnswerCutListener cutListener, Consumer<DispatchRun> completionListener) {
 		this.exchange = exchange;
 		this.eventLoop = eventLoop;
 		this.tracker = tracker;
 		this.admissionFilter = admissionFilter;
 		this.starter = starter;
+		this.cutListener = cutListener;
 		this.completionListener = completionListener;
 		this.relaySelector = new RelaySelector(exchange, tracker.clockNanos());
 	}
@@ -76,8 +81,9 @@
 		}
 		Placement placement = this.tracker.findPlacement();
 		if (placement instanceof Placement.None none) {
-			fail((lastFailure != null) ? Refusals.targetFailed(lastFailure, this.verdict)
-					: Refusals.noTarget(this.exchange.call().service().name().value(), none.retryAfterMillis()));
+			Refusal refusal = (lastFailure != null) ? Refusals.targetFailed(lastFailure, this.verdict)
+					: Refusals.noTarget(this.exchange.call().service().name().value(), none.retryAfterMillis());
+			fail(refusal, CutCause.NOT_PLACED, lastFailure);
 			return;
 		}
 		if (!this.exchange.canStart()) {
@@ -188,9 +194,23 @@
 			finish();
 			return;
 		}
-		long delayNanos = (this.relaySelector.resumeOffset() < 0) ? -1 : this.tracker.retryDelayNanos(this.verdict);
+		retryLater(detail);
+	}
+
+	private void retryLater(String detail) {
+		Refusal refusal = Refusals.targetFailed(detail, this.verdict);
+		if (this.relaySelector.resumeOffset() < 0) {
+			fail(refusal, CutCause.NOT_RESUMABLE, detail);
+			return;
+		}
+		Optional<RetryDenial> denial = this.tracker.acquireRetry(this.verdict);
+		if (denial.isPresent()) {
+			fail(refusal, CutCause.of(denial.get()), detail);
+			return;
+		}
+		long delayNanos = this.tracker.retryDelayNanos();
 		if (delayNanos < 0) {
-			fail(Refusals.targetFailed(detail, this.verdict));
+			fail(refusal, CutCause.DENIED_TIME, detail);
 			return;
 		}
 		this.retryTimer = this.eventLoop.schedule(() -> retry(detail), delayNanos, TimeUnit.NANOSECONDS);
@@ -198,7 +218,7 @@
 
 	private void retry(String lastFailure) {
 		if (this.tracker.findPlacement() instanceof Placement.None) {
-			failUnlessFinished(Refusals.targetFailed(lastFailure, this.verdict));
+			notPlaced(lastFailure);
 			return;
 		}
 		// the rules for new requests would cut what the caller already has
@@ -206,13 +226,12 @@
 			startAttempt(lastFailure);
 			return;
 		}
-		this.admissionFilter.readmit(this.exchange, () -> startAttempt(lastFailure),
-				() -> failUnlessFinished(Refusals.targetFailed(lastFailure, this.verdict)));
+		this.admissionFilter.readmit(this.exchange, () -> startAttempt(lastFailure), () -> notPlaced(lastFailure));
 	}
 
-	private void failUnlessFinished(Refusal refusal) {
+	private void notPlaced(String lastFailure) {
 		if (!this.finished) {
-			fail(refusal);
+			fail(Refusals.targetFailed(lastFailure, this.verdict), CutCause.NOT_PLACED, lastFailure);
 		}
 	}
 
@@ -221,7 +240,7 @@
 			return;
 		}
 		cancelCurrentAttempt(AttemptOutcome.TIMED_OUT);
-		fail(Refusals.deadlinePassed(this.exchange.call().deadlineMillis(), this.verdict));
+		fail(Refusals.deadlinePassed(this.exchange.call().deadlineMillis(), this.verdict), CutCause.DEADLINE, null);
 	}
 
 	private void callerDisconnected() {
@@ -255,8 +274,14 @@
 		}
 	}
 
-	private void fail(Refusal refusal) {
+	private void fail(Refusal refusal, CutCause cause, String detail) {
 		this.exchange.claim().ifPresent((claim) -> closeClaim(claim));
+		if (this.exchange.firstByteNanos() >= 0 && !this.exchange.isEnded()) {
+			long remainingMillis = TimeUnit.NANOSECONDS
+				.toMillis(this.exchange.deadlineNanos() - this.tracker.nowNanos());
+			this.cutListener.answerCut(this.exchange,
+					new AnswerCut(cause, detail, this.relaySelector.relayedTokens(), remainingMillis));
+		}
 		this.exchange.refuse(refusal.after(this.verdict));
 		finish();
 	}
