--- a/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/policy/Dispatcher.java
+++ b/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/policy/Dispatcher.java
@@ -56,7 +56,8 @@
 	/**
 	 * Admits, queues or refuses a request.
 	 * <p>
-	 * A request that cannot start immediately is refused if its pool has never had a
+	 * The rest of a stream that another VM has begun is always admitted. Any other
+	 * request that cannot start immediately is refused if its pool has never had a
 	 * target, or has had no reachable target for longer than
 	 * {@link #MAX_OUTAGE_WAIT_NANOS}.
 	 * @param ticket the request's ticket
@@ -67,7 +68,8 @@
 		PolicyRequest request = ticket.request();
 		Pool pool = this.selector.pool(request.pool(), nowNanos);
 		PoolQueue queue = this.queues.computeIfAbsent(request.pool(), (key) -> new PoolQueue(this.settings));
-		if (queue.queue().isEmpty() && canStart(request, queue, nowNanos)) {
+		boolean startable = queue.queue().isEmpty() && canStart(request, queue, nowNanos);
+		if (startable || request.isBegunAtSender()) {
 			queue.admit(ticket);
 			return new Admission.Admitted(ticket);
 		}
--- a/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/request/PolicyRequest.java
+++ b/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/request/PolicyRequest.java
@@ -50,6 +50,8 @@
 
 	private final int senderAttempts;
 
+	private final boolean begunAtSender;
+
 	private PolicyRequest(Builder builder) {
 		this.customer = builder.customer;
 		this.service = builder.service;
@@ -67,6 +69,7 @@
 		this.allowedRegions = Set.copyOf(builder.allowedRegions);
 		this.forwardedByOtherVm = builder.forwarded;
 		this.senderAttempts = builder.senderAttempts;
+		this.begunAtSender = builder.begunAtSender;
 	}
 
 	/**
@@ -186,6 +189,16 @@
 		return this.senderAttempts;
 	}
 
+	/**
+	 * Tells whether the caller already has a part of the answer, which this VM is to
+	 * continue. The rules that refuse or queue new requests don't hold for such a
+	 * request.
+	 * @return whether another VM forwarded the rest of a stream to this VM
+	 */
+	public boolean isBegunAtSender() {
+		return this.begunAtSender;
+	}
+
 	/**
 	 * Returns the number of tokens that count against the contract's limit.
 	 * @return the prompt tokens plus the maximum number of answer tokens
@@ -229,6 +242,8 @@
 
 		private int senderAttempts;
 
+		private boolean begunAtSender;
+
 		private Builder(CustomerId customer, ContractService service) {
 			this.customer = customer;
 			this.service = service;
@@ -299,6 +314,11 @@
 			return this;
 		}
 
+		public Builder begunAtSender(boolean begunAtSender) {
+			this.begunAtSender = begunAtSender;
+			return this;
+		}
+
 		public PolicyRequest build() {
 			return new PolicyRequest(this);
 		}
--- a/vanillatrestle-core/src/test/java/org/vanillatrestle/internal/policy/RequestPolicyTests.java
+++ b/vanillatrestle-core/src/test/java/org/vanillatrestle/internal/policy/RequestPolicyTests.java
@@ -206,6 +206,23 @@
 		assertThat(retries).isBetween(100, 100 + 2 * retryBurst());
 	}
 
+	@Test
+	void shouldAdmitTheRestOfAForwardedStreamWhereANewRequestIsRefused() {
+		PolicyFixture full = new PolicyFixture();
+		full.announce("engine-1", 1, 1, false, 0);
+		Admission first = full.policy.admit(full.request(), 0);
+		assertThat(first).isInstanceOf(Admission.Admitted.class);
+		assertThat(full.policy.admit(full.request(), 0)).isInstanceOf(Admission.Queued.class);
+		PolicyRequest.Builder late = full.request(PolicyFixture.CUSTOMER)
+			.forwarded(true)
+			.senderAttempts(1)
+			.deadlineNanos(PolicyFixture.SECOND_NANOS / 100);
+
+		assertThat(full.policy.admit(late.build(), 0)).isInstanceOf(Admission.Refused.class);
+		assertThat(full.policy.admit(late.begunAtSender(true).build(), 0)).isInstanceOf(Admission.Admitted.class);
+		assertThat(full.policy.queuedCount()).isEqualTo(1);
+	}
+
 	@Test
 	void shouldRetryRequestThatMayHaveRunOnlyIfIdempotent() {
 		PolicyRequest atMostOnce = this.fixture.request(PolicyFixture.CUSTOMER).repeat(Repeat.AT_MOST_ONCE).build();
--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/pipeline/PolicyRequestFactory.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/pipeline/PolicyRequestFactory.java
@@ -29,6 +29,7 @@
 			.allowedRegions(exchange.contract().allowedRegions())
 			.forwarded(exchange.isForwarded())
 			.senderAttempts(exchange.senderAttempts())
+			.begunAtSender(exchange.initialEventOffset() > 0)
 			.build();
 	}
 
