Let the rest of a broken stream of a contracted route wait for a place

Seen: a stream broke off and ended at once if its region had no untried target, though its engine worked on, another region was free or an engine came a second later. Change: PlacementChooser, taken out of RequestPolicy, has a choice for the rest of an answer: as before, else any data centre with a free slot, else a target that was tried and that the pool counts as sound. If there is none, the VM that the caller asked looks again every 50 ms until the deadline or until the caller leaves. The four attempts, the budget and the verdict bound it as before.

--- a/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/policy/Dispatcher.java
+++ b/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/policy/Dispatcher.java
@@ -130,6 +130,19 @@
 		return chooseRemote(request, pool, unplacedCount(queue), Math.max(0, admitted - 1), nowNanos);
 	}
 
+	/**
+	 * Chooses another data centre with a free slot for the rest of an answer that no
+	 * untried target of this data centre can continue.
+	 * @param request the request
+	 * @param pool the request's pool, refreshed at {@code nowNanos}
+	 * @param nowNanos the current monotonic time in nanoseconds
+	 * @return the summary of the chosen data centre's pool, or empty if there is none
+	 */
+	Optional<PoolSummary> chooseRemoteForRest(PolicyRequest request, Pool pool, long nowNanos) {
+		LocalEstimate none = new LocalEstimate(false, 0, 0, 0, pool.meanAnswerTokens(), 0);
+		return this.forwarding.chooseDataCentre(request, none, sharingVms(), nowNanos);
+	}
+
 	/**
 	 * Summarises every pool that has live targets or has received requests.
 	 * @param region the region of this VM
--- a/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/policy/RequestPolicy.java
+++ b/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/policy/RequestPolicy.java
@@ -2,7 +2,6 @@
 
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
 import java.util.Set;
 
 import org.apache.commons.rng.UniformRandomProvider;
@@ -29,10 +28,8 @@
 import org.vanillatrestle.internal.request.RefusalReason;
 import org.vanillatrestle.internal.request.Ticket;
 import org.vanillatrestle.internal.retry.RetryPolicy;
-import org.vanillatrestle.internal.select.Pool;
 import org.vanillatrestle.internal.select.TargetSelector;
 import org.vanillatrestle.internal.sendaway.ForwardingPolicy;
-import org.vanillatrestle.internal.target.Announcement;
 import org.vanillatrestle.internal.target.TargetRegistry;
 
 /**
@@ -70,6 +67,8 @@
 
 	private final Dispatcher dispatcher;
 
+	private final PlacementChooser placements;
+
 	private long lastLimitTickNanos;
 
 	/**
@@ -93,6 +92,7 @@
 		this.selector = new TargetSelector(settings.selection(), registry, random);
 		this.forwarding = new ForwardingPolicy(settings.forwarding(), settings.links(), settings.defaultLink());
 		this.dispatcher = new Dispatcher(settings.admission(), this.selector, this.forwarding);
+		this.placements = new PlacementChooser(region, this.selector, this.dispatcher);
 		this.retries = new RetryPolicy(settings.retry(), random);
 		this.lastLimitTickNanos = nowNanos;
 	}
@@ -244,19 +244,21 @@
 	 * @return the placement
 	 */
 	public Placement choosePlacement(PolicyRequest request, Set<TargetId> tried, boolean mayForward, long nowNanos) {
-		Pool pool = this.selector.pool(request.pool(), nowNanos);
-		Optional<Announcement> local = request.allowedRegions().contains(this.region)
-				? this.selector.choose(pool, request, tried, nowNanos) : Optional.empty();
-		if (mayForward && !request.isForwarded()) {
-			Optional<PoolSummary> remote = this.dispatcher.chooseRemote(request, pool, nowNanos);
-			if (remote.isPresent()) {
-				return new Placement.Forward(remote.get().region(), remote.get().dataCentre());
-			}
-		}
-		if (local.isPresent()) {
-			return new Placement.Local(local.get());
-		}
-		return new Placement.None(RefusalReason.NO_TARGET, RETRY_AFTER_MILLIS);
+		return this.placements.choose(request, tried, mayForward, nowNanos);
+	}
+
+	/**
+	 * Chooses the target or data centre for the rest of an answer that has begun. A
+	 * target that was tried is chosen if nothing else is there.
+	 * @param request the request
+	 * @param tried the targets that this request has already been sent to
+	 * @param mayForward whether the request may be forwarded to another data centre
+	 * @param nowNanos the current monotonic time in nanoseconds
+	 * @return the placement
+	 */
+	public Placement choosePlacementForRest(PolicyRequest request, Set<TargetId> tried, boolean mayForward,
+			long nowNanos) {
+		return this.placements.chooseForRest(request, tried, mayForward, nowNanos);
 	}
 
 	/**
--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/pipeline/AttemptTracker.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/pipeline/AttemptTracker.java
@@ -21,8 +21,9 @@
  * Obtains placements for the attempts of one request from the policy and reports the
  * outcomes of the attempts to it.
  * <p>
- * No target is tried twice, a request is forwarded at most once, and the attempts of both
- * VMs together stay within the policy's maximum. Used on the VM's event loop.
+ * No target is tried twice, except to continue an answer that has begun and that nothing
+ * else can continue. A request is forwarded at most once, and the attempts of both VMs
+ * together stay within the policy's maximum. Used on the VM's event loop.
  */
 final class AttemptTracker {
 
@@ -57,8 +58,19 @@
 	}
 
 	Placement findPlacement() {
-		boolean canForward = !this.exchange.isForwarded() && !this.forwardTried;
-		return this.policy.choosePlacement(policyRequest(), this.triedTargets, canForward, nowNanos());
+		return this.policy.choosePlacement(policyRequest(), this.triedTargets, canForward(), nowNanos());
+	}
+
+	private boolean canForward() {
+		return !this.exchange.isForwarded() && !this.forwardTried;
+	}
+
+	/**
+	 * Chooses a place for the rest of an answer that has begun.
+	 * @return the placement; {@code None} if no place is there now
+	 */
+	Placement findPlacementForRest() {
+		return this.policy.choosePlacementForRest(policyRequest(), this.triedTargets, canForward(), nowNanos());
 	}
 
 	/**
--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/pipeline/DispatchRun.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/pipeline/DispatchRun.java
@@ -20,13 +20,16 @@
  * run beside it: the replacement becomes the current attempt when its answer begins or
  * when the current one fails, and is cancelled if the current one goes on first. Events
  * of other attempts are ignored. No attempt starts after the deadline, at a target that
- * was already tried, or if the verdict of an earlier attempt forbids a repeat. Used on
- * the VM's event loop.
+ * was already tried while another place is there, or if the verdict of an earlier attempt
+ * forbids a repeat. The rest of an answer that has begun waits for a place until the
+ * deadline, at the VM that the caller asked. Used on the VM's event loop.
  */
 final class DispatchRun {
 
 	private static final Logger logger = Logger.getLogger(DispatchRun.class);
 
+	private static final long PLACEMENT_RETRY_MILLIS = 50;
+
 	private final Exchange exchange;
 
 	private final EventLoop eventLoop;
@@ -79,7 +82,7 @@
 		if (this.finished) {
 			return;
 		}
-		Placement placement = this.tracker.findPlacement();
+		Placement placement = findPlacement();
 		if (placement instanceof Placement.None none) {
 			Refusal refusal = (lastFailure != null) ? Refusals.targetFailed(lastFailure, this.verdict)
 					: Refusals.noTarget(this.exchange.call().service().name().value(), none.retryAfterMillis());
@@ -94,6 +97,15 @@
 		send(this.currentAttempt, placement);
 	}
 
+	private Placement findPlacement() {
+		return isBegun() ? this.tracker.findPlacementForRest() : this.tracker.findPlacement();
+	}
+
+	// here, or at the VM that forwarded the request
+	private boolean isBegun() {
+		return this.relaySelector.resumeOffset() > 0;
+	}
+
 	private AttemptRun newAttempt(Placement placement) {
 		this.exchange.nextAttempt();
 		return new AttemptRun(this, this.exchange, this.tracker.begin(placement), this.relaySelector);
@@ -217,12 +229,19 @@
 	}
 
 	private void retry(String lastFailure) {
-		if (this.tracker.findPlacement() instanceof Placement.None) {
+		boolean placeable = !(findPlacement() instanceof Placement.None);
+		// the VM in front knows more places than the one that it forwarded to
+		if (!placeable && isBegun() && !this.exchange.isForwarded()) {
+			this.retryTimer = this.eventLoop.schedule(() -> retry(lastFailure), PLACEMENT_RETRY_MILLIS,
+					TimeUnit.MILLISECONDS);
+			return;
+		}
+		if (!placeable) {
 			notPlaced(lastFailure);
 			return;
 		}
 		// the rules for new requests would cut what the caller already has
-		if (this.relaySelector.resumeOffset() > 0) {
+		if (isBegun()) {
 			startAttempt(lastFailure);
 			return;
 		}
