--- a/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/policy/Dispatcher.java
+++ b/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/policy/Dispatcher.java
@@ -56,7 +56,8 @@
 	/**
 	 * Admits, queues or refuses a request.
 	 * <p>
-	 * A request that cannot start immediately is refused if its pool has never had a
+	 * The rest of a stream that another VM has begun is always admitted. Any other
+	 * request that cannot start immediately is refused if its pool has never had a
 	 * target, or has had no reachable target for longer than
 	 * {@link #MAX_OUTAGE_WAIT_NANOS}.
 	 * @param ticket the request's ticket
@@ -67,7 +68,8 @@
 		PolicyRequest request = ticket.request();
 		Pool pool = this.selector.pool(request.pool(), nowNanos);
 		PoolQueue queue = this.queues.computeIfAbsent(request.pool(), (key) -> new PoolQueue(this.settings));
-		if (queue.queue().isEmpty() && canStart(request, queue, nowNanos)) {
+		boolean startable = queue.queue().isEmpty() && canStart(request, queue, nowNanos);
+		if (startable || request.isBegunAtSender()) {
 			queue.admit(ticket);
 			return new Admission.Admitted(ticket);
 		}
@@ -128,6 +130,19 @@
 		return chooseRemote(request, pool, unplacedCount(queue), Math.max(0, admitted - 1), nowNanos);
 	}
 
+	/**
+	 * Chooses another data centre with a free slot for the rest of an answer that no
+	 * untried target of this data centre can continue.
+	 * @param request the request
+	 * @param pool the request's pool, refreshed at {@code nowNanos}
+	 * @param nowNanos the current monotonic time in nanoseconds
+	 * @return the summary of the chosen data centre's pool, or empty if there is none
+	 */
+	Optional<PoolSummary> chooseRemoteForRest(PolicyRequest request, Pool pool, long nowNanos) {
+		LocalEstimate none = new LocalEstimate(false, 0, 0, 0, pool.meanAnswerTokens(), 0);
+		return this.forwarding.chooseDataCentre(request, none, sharingVms(), nowNanos);
+	}
+
 	/**
 	 * Summarises every pool that has live targets or has received requests.
 	 * @param region the region of this VM
--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/pipeline/AttemptTracker.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/pipeline/AttemptTracker.java
@@ -1,6 +1,7 @@
 package org.vanillatrestle.daemon.internal.pipeline;
 
 import java.util.HashSet;
+import java.util.Optional;
 import java.util.Set;
 import java.util.function.LongSupplier;
 
@@ -14,13 +15,15 @@
 import org.vanillatrestle.internal.request.Placement;
 import org.vanillatrestle.internal.request.PolicyRequest;
 import org.vanillatrestle.internal.request.RefusalReason;
+import org.vanillatrestle.internal.retry.RetryDenial;
 
 /**
  * Obtains placements for the attempts of one request from the policy and reports the
  * outcomes of the attempts to it.
  * <p>
- * No target is tried twice, a request is forwarded at most once, and the attempts of both
- * VMs together stay within the policy's maximum. Used on the VM's event loop.
+ * No target is tried twice, except to continue an answer that has begun and that nothing
+ * else can continue. A request is forwarded at most once, and the attempts of both VMs
+ * together stay within the policy's maximum. Used on the VM's event loop.
  */
 final class AttemptTracker {
 
@@ -55,8 +58,19 @@
 	}
 
 	Placement findPlacement() {
-		boolean canForward = !this.exchange.isForwarded() && !this.forwardTried;
-		return this.policy.choosePlacement(policyRequest(), this.triedTargets, canForward, nowNanos());
+		return this.policy.choosePlacement(policyRequest(), this.triedTargets, canForward(), nowNanos());
+	}
+
+	private boolean canForward() {
+		return !this.exchange.isForwarded() && !this.forwardTried;
+	}
+
+	/**
+	 * Chooses a place for the rest of an answer that has begun.
+	 * @return the placement; {@code None} if no place is there now
+	 */
+	Placement findPlacementForRest() {
+		return this.policy.choosePlacementForRest(policyRequest(), this.triedTargets, canForward(), nowNanos());
 	}
 
 	/**
@@ -109,17 +123,24 @@
 	}
 
 	/**
-	 * Returns how long to wait before the next attempt.
+	 * Charges a retry, if the request may have one.
 	 * @param verdict the combined verdict of all attempts so far
-	 * @return the delay in nanoseconds, or -1 if no further attempt may be made
+	 * @return why no further attempt may be made, or empty if the retry is charged
 	 */
-	long retryDelayNanos(Verdict verdict) {
-		if (!verdict.permitsRepeat(this.exchange.call().repeat())) {
-			return -1;
-		}
-		if (!tryAcquireRetry(verdict)) {
-			return -1;
+	Optional<RetryDenial> acquireRetry(Verdict verdict) {
+		Optional<RetryDenial> denial = this.policy.retries()
+			.findDenial(policyRequest(), verdict, attemptsAtAllVms(), nowNanos());
+		if (denial.isEmpty()) {
+			tryAcquireRetry(verdict);
 		}
+		return denial;
+	}
+
+	/**
+	 * Returns how long to wait before the next attempt.
+	 * @return the delay in nanoseconds, or -1 if the deadline passes before
+	 */
+	long retryDelayNanos() {
 		long delayNanos = this.policy.retries().backoffNanos(attemptsAtAllVms());
 		return (nowNanos() + delayNanos < this.exchange.deadlineNanos()) ? delayNanos : -1;
 	}
--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/pipeline/DispatchRun.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/pipeline/DispatchRun.java
@@ -1,5 +1,6 @@
 package org.vanillatrestle.daemon.internal.pipeline;
 
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 
@@ -10,6 +11,7 @@
 import org.vanillatrestle.Verdict;
 import org.vanillatrestle.internal.request.AttemptOutcome;
 import org.vanillatrestle.internal.request.Placement;
+import org.vanillatrestle.internal.retry.RetryDenial;
 
 /**
  * Makes the attempts of one request until the request is answered or has failed.
@@ -18,13 +20,16 @@
  * run beside it: the replacement becomes the current attempt when its answer begins or
  * when the current one fails, and is cancelled if the current one goes on first. Events
  * of other attempts are ignored. No attempt starts after the deadline, at a target that
- * was already tried, or if the verdict of an earlier attempt forbids a repeat. Used on
- * the VM's event loop.
+ * was already tried while another place is there, or if the verdict of an earlier attempt
+ * forbids a repeat. The rest of an answer that has begun waits for a place until the
+ * deadline, at the VM that the caller asked. Used on the VM's event loop.
  */
 final class DispatchRun {
 
 	private static final Logger logger = Logger.getLogger(DispatchRun.class);
 
+	private static final long PLACEMENT_RETRY_MILLIS = 50;
+
 	private final Exchange exchange;
 
 	private final EventLoop eventLoop;
@@ -35,6 +40,8 @@
 
 	private final AttemptStarter starter;
 
+	private final AnswerCutListener cutListener;
+
 	private final Consumer<DispatchRun> completionListener;
 
 	private final RelaySelector relaySelector;
@@ -52,12 +59,13 @@
 	private boolean finished;
 
 	DispatchRun(Exchange exchange, EventLoop eventLoop, AttemptTracker tracker, AdmissionFilter admissionFilter,
-			AttemptStarter starter, Consumer<DispatchRun> completionListener) {
+			AttemptStarter starter, AnswerCutListener cutListener, Consumer<DispatchRun> completionListener) {
 		this.exchange = exchange;
 		this.eventLoop = eventLoop;
 		this.tracker = tracker;
 		this.admissionFilter = admissionFilter;
 		this.starter = starter;
+		this.cutListener = cutListener;
 		this.completionListener = completionListener;
 		this.relaySelector = new RelaySelector(exchange, tracker.clockNanos());
 	}
@@ -74,10 +82,11 @@
 		if (this.finished) {
 			return;
 		}
-		Placement placement = this.tracker.findPlacement();
+		Placement placement = findPlacement();
 		if (placement instanceof Placement.None none) {
-			fail((lastFailure != null) ? Refusals.targetFailed(lastFailure, this.verdict)
-					: Refusals.noTarget(this.exchange.call().service().name().value(), none.retryAfterMillis()));
+			Refusal refusal = (lastFailure != null) ? Refusals.targetFailed(lastFailure, this.verdict)
+					: Refusals.noTarget(this.exchange.call().service().name().value(), none.retryAfterMillis());
+			fail(refusal, CutCause.NOT_PLACED, lastFailure);
 			return;
 		}
 		if (!this.exchange.canStart()) {
@@ -88,6 +97,15 @@
 		send(this.currentAttempt, placement);
 	}
 
+	private Placement findPlacement() {
+		return isBegun() ? this.tracker.findPlacementForRest() : this.tracker.findPlacement();
+	}
+
+	// here, or at the VM that forwarded the request
+	private boolean isBegun() {
+		return this.relaySelector.resumeOffset() > 0;
+	}
+
 	private AttemptRun newAttempt(Placement placement) {
 		this.exchange.nextAttempt();
 		return new AttemptRun(this, this.exchange, this.tracker.begin(placement), this.relaySelector);
@@ -188,31 +206,51 @@
 			finish();
 			return;
 		}
-		long delayNanos = (this.relaySelector.resumeOffset() < 0) ? -1 : this.tracker.retryDelayNanos(this.verdict);
+		retryLater(detail);
+	}
+
+	private void retryLater(String detail) {
+		Refusal refusal = Refusals.targetFailed(detail, this.verdict);
+		if (this.relaySelector.resumeOffset() < 0) {
+			fail(refusal, CutCause.NOT_RESUMABLE, detail);
+			return;
+		}
+		Optional<RetryDenial> denial = this.tracker.acquireRetry(this.verdict);
+		if (denial.isPresent()) {
+			fail(refusal, CutCause.of(denial.get()), detail);
+			return;
+		}
+		long delayNanos = this.tracker.retryDelayNanos();
 		if (delayNanos < 0) {
-			fail(Refusals.targetFailed(detail, this.verdict));
+			fail(refusal, CutCause.DENIED_TIME, detail);
 			return;
 		}
 		this.retryTimer = this.eventLoop.schedule(() -> retry(detail), delayNanos, TimeUnit.NANOSECONDS);
 	}
 
 	private void retry(String lastFailure) {
-		if (this.tracker.findPlacement() instanceof Placement.None) {
-			failUnlessFinished(Refusals.targetFailed(lastFailure, this.verdict));
+		boolean placeable = !(findPlacement() instanceof Placement.None);
+		// the VM in front knows more places than the one that it forwarded to
+		if (!placeable && isBegun() && !this.exchange.isForwarded()) {
+			this.retryTimer = this.eventLoop.schedule(() -> retry(lastFailure), PLACEMENT_RETRY_MILLIS,
+					TimeUnit.MILLISECONDS);
+			return;
+		}
+		if (!placeable) {
+			notPlaced(lastFailure);
 			return;
 		}
 		// the rules for new requests would cut what the caller already has
-		if (this.relaySelector.resumeOffset() > 0) {
+		if (isBegun()) {
 			startAttempt(lastFailure);
 			return;
 		}
-		this.admissionFilter.readmit(this.exchange, () -> startAttempt(lastFailure),
-				() -> failUnlessFinished(Refusals.targetFailed(lastFailure, this.verdict)));
+		this.admissionFilter.readmit(this.exchange, () -> startAttempt(lastFailure), () -> notPlaced(lastFailure));
 	}
 
-	private void failUnlessFinished(Refusal refusal) {
+	private void notPlaced(String lastFailure) {
 		if (!this.finished) {
-			fail(refusal);
+			fail(Refusals.targetFailed(lastFailure, this.verdict), CutCause.NOT_PLACED, lastFailure);
 		}
 	}
 
@@ -221,7 +259,7 @@
 			return;
 		}
 		cancelCurrentAttempt(AttemptOutcome.TIMED_OUT);
-		fail(Refusals.deadlinePassed(this.exchange.call().deadlineMillis(), this.verdict));
+		fail(Refusals.deadlinePassed(this.exchange.call().deadlineMillis(), this.verdict), CutCause.DEADLINE, null);
 	}
 
 	private void callerDisconnected() {
@@ -255,8 +293,14 @@
 		}
 	}
 
-	private void fail(Refusal refusal) {
+	private void fail(Refusal refusal, CutCause cause, String detail) {
 		this.exchange.claim().ifPresent((claim) -> closeClaim(claim));
+		if (this.exchange.firstByteNanos() >= 0 && !this.exchange.isEnded()) {
+			long remainingMillis = TimeUnit.NANOSECONDS
+				.toMillis(this.exchange.deadlineNanos() - this.tracker.nowNanos());
+			this.cutListener.answerCut(this.exchange,
+					new AnswerCut(cause, detail, this.relaySelector.relayedTokens(), remainingMillis));
+		}
 		this.exchange.refuse(refusal.after(this.verdict));
 		finish();
 	}
