Show that drafts are refused in a surge that endangers no answer

Callers of the least urgent kind get 503 in a surge of three seconds, although their targets could take them. The limit applies as soon as long answers would use half of their time at the momentary pace.

--- a/vanillatrestle-core/src/test/java/org/vanillatrestle/internal/gateway/StreamReplay.java
+++ b/vanillatrestle-core/src/test/java/org/vanillatrestle/internal/gateway/StreamReplay.java
@@ -68,6 +68,8 @@
 
 	private final List<Run> runs = new ArrayList<>();
 
+	private boolean limitsReading = true;
+
 	StreamReplay(long seed, int engineCount) {
 		this.random = RandomSource.XO_RO_SHI_RO_128_PP.create(seed);
 		this.service = new DeclaredService(new ServiceName("model"), "/health", 100, 0, 0,
@@ -86,6 +88,15 @@
 		}
 	}
 
+	/**
+	 * Lets targets read without limit, which shows what they can take.
+	 * @return this replay
+	 */
+	StreamReplay withoutReadingLimits() {
+		this.limitsReading = false;
+		return this;
+	}
+
 	/**
 	 * Runs the load to its end.
 	 * @param load the load
@@ -129,7 +140,8 @@
 		GatewayTargets vm = this.vms.get(this.random.nextInt(this.vms.size()));
 		RequestShape shape = new RequestShape(this.service, readTokens, run.outputTokens,
 				List.of(new PromptPart("own-" + this.runs.size(), readTokens)), PAUSE_OBJECTIVE_MILLIS,
-				RequestShape.maxReadingShare(line.rank()), line.deadlineMillis());
+				this.limitsReading ? RequestShape.maxReadingShare(line.rank()) : Double.MAX_VALUE,
+				line.deadlineMillis());
 		Optional<TargetChoice> choice = vm.choose(shape, Set.of(), nanos(nowMillis));
 		if (choice.isEmpty() || !admits(choice.get(), shape, line, vm.readMillis(shape))) {
 			run.refused = true;
@@ -165,6 +177,10 @@
 			this.runs.addAll(more.runs);
 		}
 
+		long refusedCount() {
+			return this.runs.stream().filter((run) -> run.refused).count();
+		}
+
 		double servedShare() {
 			return servedShare(this.runs);
 		}
@@ -207,8 +223,7 @@
 		@Override
 		public String toString() {
 			return String.format("%d asked, %.2f served, %.2f of the largest, %d refused, %d cut, worth %.2f",
-					this.runs.size(), servedShare(), largestServedShare(),
-					this.runs.stream().filter((run) -> run.refused).count(),
+					this.runs.size(), servedShare(), largestServedShare(), refusedCount(),
 					this.runs.stream().filter((run) -> !run.ended && !run.refused).count(), worthShare());
 		}
 
--- a/vanillatrestle-core/src/test/java/org/vanillatrestle/internal/gateway/StreamReplayTests.java
+++ b/vanillatrestle-core/src/test/java/org/vanillatrestle/internal/gateway/StreamReplayTests.java
@@ -3,7 +3,10 @@
 import java.util.ArrayList;
 import java.util.Map;
 import java.util.TreeMap;
+import java.util.function.UnaryOperator;
 
+import org.junit.jupiter.api.Tag;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 
@@ -24,21 +27,37 @@
 	@ParameterizedTest
 	@ValueSource(doubles = { 0.8, 1, 1.3, 1.6 })
 	void shouldServeTheLargestAtLeastHalfAsOftenAsAll(double loadFactor) throws Exception {
-		Map<String, StreamReplay.Outcome> outcomes = replayAll(AnswerLoad.read("long-answers.csv").times(loadFactor));
+		Map<String, StreamReplay.Outcome> outcomes = replayAll(AnswerLoad.read("long-answers.csv").times(loadFactor),
+				UnaryOperator.identity());
 		System.out.println("long answers x " + loadFactor + ", worth " + worthShare(outcomes) + ": " + outcomes);
 		assertThat(outcomes.values()).allSatisfy((outcome) -> assertThat(outcome.largestServedShare())
 			.isGreaterThanOrEqualTo(outcome.servedShare() / 2));
 	}
 
+	// Guards against the least urgent requests being refused while targets could take
+	// them: without any limit on reading, all answers of this load end before their
+	// deadlines.
+	@Test
+	@Tag("known-red")
+	void shouldRefuseNothingInASurgeThatEndangersNoAnswer() throws Exception {
+		AnswerLoad load = AnswerLoad.read("short-surge.csv");
+		Map<String, StreamReplay.Outcome> unlimited = replayAll(load, StreamReplay::withoutReadingLimits);
+		Map<String, StreamReplay.Outcome> limited = replayAll(load, UnaryOperator.identity());
+		System.out.println("short surge: " + unlimited + " -> " + limited);
+		assertThat(unlimited.values()).allSatisfy((outcome) -> assertThat(outcome.servedShare()).isEqualTo(1));
+		assertThat(limited.values()).allSatisfy((outcome) -> assertThat(outcome.refusedCount()).isZero());
+	}
+
 	private static double worthShare(Map<String, StreamReplay.Outcome> outcomes) {
 		return outcomes.values().stream().mapToDouble(StreamReplay.Outcome::earned).sum()
 				/ outcomes.values().stream().mapToDouble(StreamReplay.Outcome::owed).sum();
 	}
 
-	private static Map<String, StreamReplay.Outcome> replayAll(AnswerLoad load) {
+	private static Map<String, StreamReplay.Outcome> replayAll(AnswerLoad load, UnaryOperator<StreamReplay> setup) {
 		Map<String, StreamReplay.Outcome> all = new TreeMap<>();
 		for (long seed = 1; seed <= SEED_COUNT; seed++) {
-			new StreamReplay(seed, ENGINE_COUNT).run(load)
+			setup.apply(new StreamReplay(seed, ENGINE_COUNT))
+				.run(load)
 				.forEach((kind, outcome) -> all
 					.computeIfAbsent(kind, (key) -> new StreamReplay.Outcome(new ArrayList<>()))
 					.addAll(outcome));
