Let the engine of a withdrawn replacement continue an answer when its own engine fails

With max-attempts 2 callers got a stream cut in the middle if its engine had been silent for a while, went on, and then failed; and if it fell silent a second time, for good.

The bound counts engines, not runs: a request may run on as many engines as its route has attempts. The engine of a withdrawn replacement has not failed, and if it gets the request once more, no further engine runs it. So AttemptHistory keeps these targets apart. Once as many targets as allowed may have run the request, only they may get it, as a replacement or for a retry; neither another target of the region nor a VM of another one may. A replacement that was given up because it was silent too is not among them, and of the four sends one is still kept for a real failure. Each of these attempts is charged to the retry budget as before.

Weighed: to keep the last attempt for a failure until the caller is about to leave would leave less time to the other engine in every silence, for the sake of few failures. To count a replacement only if its engine has begun would let a third engine run the request. A withdrawn replacement that was forwarded counts as before: the VM in front does not know which target ran it.

Tests: shouldContinueAnAnswerThatWasSilentForAWhileBeforeItsEngineFails, which also checks that two of three engines ran the request, and shouldContinueAnAnswerThatIsSilentForASecondTime. Both failed before: the first with retry-denied, outcome denied-attempts, sends 2, runs 2, then answer-cut, parts 4; in the second the answer was broken off after 7 s, at its deadline. PlatformHandoverTests and PlatformSilenceTests pass as they are.

--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/AttemptHandover.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/AttemptHandover.java
@@ -68,20 +68,23 @@
 	 * Notes progress of the current attempt, which makes its replacement needless.
 	 */
 	void recordProgress() {
-		withdrawReplacement();
-	}
-
-	/**
-	 * Cancels the replacement, if there is one, and keeps the current attempt.
-	 */
-	void withdrawReplacement() {
 		if (this.replacement != null) {
 			RoutedAttempt withdrawn = this.replacement;
-			this.request.attempts().recordRun(cancelReplacement());
+			this.request.attempts().recordWithdrawal(cancelReplacement(), withdrawn.target());
 			record(EventKind.REPLACEMENT_WITHDRAWN, withdrawn);
 		}
 	}
 
+	/**
+	 * Cancels the replacement, which makes no progress either, and keeps the current
+	 * attempt.
+	 */
+	void giveReplacementUp() {
+		RoutedAttempt stalled = this.replacement;
+		this.request.attempts().recordRun(cancelReplacement());
+		record(EventKind.REPLACEMENT_WITHDRAWN, stalled);
+	}
+
 	/**
 	 * Ends the current attempt in favour of its replacement, which has begun to answer.
 	 */
--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/AttemptHistory.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/AttemptHistory.java
@@ -1,5 +1,6 @@
 package org.vanillatrestle.daemon.internal.gateway;
 
+import java.util.Collection;
 import java.util.HashSet;
 import java.util.Optional;
 import java.util.Set;
@@ -9,6 +10,7 @@
 import org.vanillatrestle.Verdict;
 import org.vanillatrestle.VmId;
 import org.vanillatrestle.internal.fleet.EntryReport;
+import org.vanillatrestle.internal.gateway.GatewayTarget;
 import org.vanillatrestle.internal.gateway.RemoteEntries;
 
 /**
@@ -25,6 +27,9 @@
 
 	private final Set<TargetId> triedTargets = new HashSet<>();
 
+	// targets that may have run the request and were left although they had not failed
+	private final Set<TargetId> withdrawnTargets = new HashSet<>();
+
 	private final Set<VmId> triedVms = new HashSet<>();
 
 	private final Set<TargetId> reachedTargets = new HashSet<>();
@@ -50,6 +55,10 @@
 	}
 
 	void recordSend(TargetId target) {
+		if (this.withdrawnTargets.remove(target)) {
+			// the same target runs it again, which is no further one
+			this.possibleRuns--;
+		}
 		this.triedTargets.add(target);
 		this.sendCount++;
 	}
@@ -114,6 +123,18 @@
 		this.hasArrived = true;
 	}
 
+	/**
+	 * Notes that a replacement was withdrawn because it was no longer needed. If its
+	 * target may have run the request, it may get it once more: then no further target
+	 * runs the request.
+	 * @param attemptVerdict whether the request may have run in the attempt
+	 * @param target the target of this region, empty if another VM had the attempt
+	 */
+	void recordWithdrawal(Verdict attemptVerdict, Optional<TargetId> target) {
+		recordRun(attemptVerdict);
+		target.filter((id) -> attemptVerdict != Verdict.NOT_RUN).ifPresent(this.withdrawnTargets::add);
+	}
+
 	void recordVerdict(Verdict attemptVerdict) {
 		this.verdict = this.verdict.and(attemptVerdict);
 	}
@@ -127,7 +148,20 @@
 	}
 
 	boolean hasAttemptsLeft() {
-		return this.sendCount < MAX_SENDS && this.possibleRuns < this.maxRuns;
+		return this.sendCount < MAX_SENDS && mayRun(0);
+	}
+
+	private boolean mayRun(int inProgress) {
+		return mayRunElsewhere(inProgress) || !this.withdrawnTargets.isEmpty();
+	}
+
+	/**
+	 * Checks whether a target may run the request that has not run it.
+	 * @param inProgress the number of attempts in progress
+	 * @return whether fewer targets than allowed may have run it
+	 */
+	boolean mayRunElsewhere(int inProgress) {
+		return this.possibleRuns + inProgress < this.maxRuns;
 	}
 
 	/**
@@ -137,7 +171,7 @@
 	 * @return whether another attempt may follow
 	 */
 	boolean mayReplace(int inProgress) {
-		return this.sendCount + 1 < MAX_SENDS && this.possibleRuns + inProgress < this.maxRuns;
+		return this.sendCount + 1 < MAX_SENDS && mayRun(inProgress);
 	}
 
 	/**
@@ -145,7 +179,7 @@
 	 * @return whether another attempt may follow
 	 */
 	boolean hasAttemptsLeftAfterRun() {
-		return this.sendCount < MAX_SENDS && this.possibleRuns + 1 < this.maxRuns;
+		return this.sendCount < MAX_SENDS && mayRun(1);
 	}
 
 	/**
@@ -177,6 +211,22 @@
 		this.triedTargets.addAll(targets);
 	}
 
+	/**
+	 * Returns the targets of this region that must not get the request.
+	 * @param known the targets of this region
+	 * @param inProgress the number of attempts in progress
+	 * @return the tried targets, or all but those that replacements were withdrawn from,
+	 * if no further target may run the request
+	 */
+	Set<TargetId> excludedTargets(Collection<GatewayTarget> known, int inProgress) {
+		Set<TargetId> excluded = new HashSet<>(this.triedTargets);
+		if (!mayRunElsewhere(inProgress)) {
+			known.forEach((target) -> excluded.add(target.id()));
+		}
+		excluded.removeAll(this.withdrawnTargets);
+		return excluded;
+	}
+
 	/**
 	 * Checks whether the request may be sent to a VM of another region.
 	 * @param entry the VM
--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/PlacementPlan.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/PlacementPlan.java
@@ -35,14 +35,16 @@
 	 * @param mayForward whether VMs of other regions may serve the request
 	 * @param avoided a region that must not get the request, because an attempt is in
 	 * progress at an unknown target there
+	 * @param inProgress the number of attempts in progress
 	 * @return the plan
 	 */
 	static PlacementPlan choose(GatewayContext context, DeclaredRoute route, RequestShape shape,
-			AttemptHistory attempts, boolean mayForward, Optional<RegionId> avoided) {
+			AttemptHistory attempts, boolean mayForward, Optional<RegionId> avoided, int inProgress) {
 		long now = System.nanoTime();
 		Optional<TargetChoice> target = route.allows(context.region())
-				? context.targets().choose(shape, attempts.triedTargets(), now) : Optional.empty();
-		Optional<RemoteEntries.RemoteChoice> vm = mayForward
+				? context.targets().choose(shape, attempts.excludedTargets(context.targets().all(), inProgress), now)
+				: Optional.empty();
+		Optional<RemoteEntries.RemoteChoice> vm = mayForward && attempts.mayRunElsewhere(inProgress)
 				? context.remoteVms()
 					.choose(route, shape.service().name(),
 							(entry) -> attempts.isUntried(entry) && !avoided.equals(Optional.of(entry.region())), now)
@@ -83,6 +85,11 @@
 				route.latencyObjectiveMillis(), context.targets().readMillis(shape), remainingMillis);
 	}
 
+	static boolean hasUntriedTarget(GatewayContext context, RequestShape shape, AttemptHistory attempts) {
+		return context.targets()
+			.hasUntriedTarget(shape.service(), attempts.excludedTargets(context.targets().all(), 0));
+	}
+
 	static boolean isServedInRegion(GatewayContext context, DeclaredRoute route, RequestShape shape) {
 		return route.allows(context.region()) && context.targets().hasTarget(shape.service());
 	}
--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/RoutedRequest.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/RoutedRequest.java
@@ -127,7 +127,7 @@
 			placeLater();
 			return;
 		}
-		this.plan = choosePlan(admission, Optional.empty());
+		this.plan = choosePlan(admission, Optional.empty(), 0);
 		Placement placement = isBegun()
 				? this.plan.decideForBegunAnswer(this.context, this.route, this.shape, remainingMillis())
 				: this.plan.decide(this.context, this.route, this.shape, remainingMillis());
@@ -153,7 +153,7 @@
 
 	private void waitForCapacity() {
 		if (isBegun() && this.recorder.isCallerPatient()
-				&& this.context.targets().hasUntriedTarget(this.shape.service(), this.attempts.triedTargets())) {
+				&& PlacementPlan.hasUntriedTarget(this.context, this.shape, this.attempts)) {
 			placeLater();
 			return;
 		}
@@ -194,7 +194,7 @@
 		if (!isPromptProven() && admission.isHeldBack()) {
 			return;
 		}
-		PlacementPlan replacementPlan = choosePlan(admission, this.handover.unansweredRegion());
+		PlacementPlan replacementPlan = choosePlan(admission, this.handover.unansweredRegion(), 1);
 		Placement placement = replacementPlan.decide(this.context, this.route, this.shape, remainingMillis());
 		if (!placement.hasPlace() || !this.retryGate.tryReplace(this.handover.targetRequest())) {
 			return;
@@ -210,7 +210,7 @@
 	 */
 	void onReplacementStalled() {
 		if (this.retryGate.mayReplace(2)) {
-			this.handover.withdrawReplacement();
+			this.handover.giveReplacementUp();
 		}
 	}
 
@@ -218,10 +218,10 @@
 		return this.handover.hasReplacement() || this.retryGate.hasAttemptsLeftAfterRun();
 	}
 
-	private PlacementPlan choosePlan(Admission admission, Optional<RegionId> avoided) {
+	private PlacementPlan choosePlan(Admission admission, Optional<RegionId> avoided, int running) {
 		boolean mayForward = !this.forwarded && (isPromptProven() || admission.action() != Admission.Action.PROBE
 				|| !PlacementPlan.isServedInRegion(this.context, this.route, this.shape));
-		return PlacementPlan.choose(this.context, this.route, this.shape, this.attempts, mayForward, avoided);
+		return PlacementPlan.choose(this.context, this.route, this.shape, this.attempts, mayForward, avoided, running);
 	}
 
 	/**
@@ -291,7 +291,7 @@
 	private void respond(GatewayError error, long millisUntilRetry) {
 		if (this.forwarded) {
 			boolean hasMoreTargets = error == GatewayError.NOT_RUN && PlacementPlan
-				.choose(this.context, this.route, this.shape, this.attempts, false, Optional.empty())
+				.choose(this.context, this.route, this.shape, this.attempts, false, Optional.empty(), 0)
 				.hasDestination();
 			error.respondToVm(this.sink, millisUntilRetry, this.attempts.reachedTargets(), hasMoreTargets);
 			return;
