Continue a forwarded stream through the same VM if no other VM can

The VM in front knows from the head of the answer which target has failed and excludes it. So a VM that has said which target answers may get the request once more, for a retry only and only if no untried VM is there.

--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/AttemptHistory.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/AttemptHistory.java
@@ -5,10 +5,12 @@
 import java.util.Optional;
 import java.util.Set;
 
+import io.netty.handler.codec.http.HttpHeaders;
 import org.vanillatrestle.RegionId;
 import org.vanillatrestle.TargetId;
 import org.vanillatrestle.Verdict;
 import org.vanillatrestle.VmId;
+import org.vanillatrestle.daemon.internal.pipeline.HeaderNames;
 import org.vanillatrestle.internal.fleet.EntryReport;
 import org.vanillatrestle.internal.gateway.GatewayTarget;
 import org.vanillatrestle.internal.gateway.RemoteEntries;
@@ -32,6 +34,9 @@
 
 	private final Set<VmId> triedVms = new HashSet<>();
 
+	// VMs that have said which target answers
+	private final Set<VmId> answeringVms = new HashSet<>();
+
 	private final Set<TargetId> reachedTargets = new HashSet<>();
 
 	private final Set<RegionId> exhaustedRegions = new HashSet<>();
@@ -227,6 +232,29 @@
 		return excluded;
 	}
 
+	/**
+	 * Notes that a VM of another region answers, and for which target.
+	 * @param vm the VM
+	 * @param headers the headers of the answer
+	 */
+	void recordRemoteAnswer(VmId vm, HttpHeaders headers) {
+		Set<TargetId> targets = RemoteError.split(headers.get(HeaderNames.ANSWERING_TARGET));
+		excludeTargets(targets);
+		if (!targets.isEmpty()) {
+			this.answeringVms.add(vm);
+		}
+	}
+
+	/**
+	 * Checks whether a VM may get the request once more. Its answer broke off, but the
+	 * target that failed is known, so that another one of its region continues.
+	 * @param entry the VM
+	 * @return whether the VM has answered and not all targets of its region were tried
+	 */
+	boolean mayContinueAt(EntryReport entry) {
+		return this.answeringVms.contains(entry.vm()) && !this.exhaustedRegions.contains(entry.region());
+	}
+
 	/**
 	 * Checks whether the request may be sent to a VM of another region.
 	 * @param entry the VM
--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/PlacementPlan.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/PlacementPlan.java
@@ -1,9 +1,11 @@
 package org.vanillatrestle.daemon.internal.gateway;
 
 import java.util.Optional;
+import java.util.function.Predicate;
 
 import org.vanillatrestle.RegionId;
 import org.vanillatrestle.internal.declaration.DeclaredRoute;
+import org.vanillatrestle.internal.fleet.EntryReport;
 import org.vanillatrestle.internal.gateway.Placement;
 import org.vanillatrestle.internal.gateway.RemoteEntries;
 import org.vanillatrestle.internal.gateway.RequestShape;
@@ -44,11 +46,15 @@
 		Optional<TargetChoice> target = route.allows(context.region())
 				? context.targets().choose(shape, attempts.excludedTargets(context.targets().all(), inProgress), now)
 				: Optional.empty();
-		Optional<RemoteEntries.RemoteChoice> vm = mayForward && attempts.mayRunElsewhere(inProgress)
-				? context.remoteVms()
-					.choose(route, shape.service().name(),
-							(entry) -> attempts.isUntried(entry) && !avoided.equals(Optional.of(entry.region())), now)
-				: Optional.empty();
+		Optional<RemoteEntries.RemoteChoice> vm = Optional.empty();
+		if (mayForward && attempts.mayRunElsewhere(inProgress)) {
+			Predicate<EntryReport> allowed = (entry) -> !avoided.equals(Optional.of(entry.region()));
+			vm = context.remoteVms().choose(route, shape.service().name(), allowed.and(attempts::isUntried), now);
+			if (vm.isEmpty() && inProgress == 0) {
+				vm = context.remoteVms()
+					.choose(route, shape.service().name(), allowed.and(attempts::mayContinueAt), now);
+			}
+		}
 		long readMillis = context.targets().readMillis(shape);
 		return new PlacementPlan(target, vm,
 				target.map((choice) -> new Placement.Estimate(choice.waitMillis(), choice.harmfulReadingShare()))
--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/RoutedAttempt.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/RoutedAttempt.java
@@ -207,7 +207,7 @@
 		this.hasKnownLength = head.hasLength();
 		if (this.remoteRequest.isPresent()) {
 			this.remoteError = RemoteError.read(head.headers()).orElse(null);
-			this.request.attempts().excludeTargets(RemoteError.split(head.headers().get(HeaderNames.ANSWERING_TARGET)));
+			this.request.attempts().recordRemoteAnswer(this.remoteRequest.get().choice().vm(), head.headers());
 		}
 		head.headers().remove(HeaderNames.ANSWERING_TARGET);
 		if (this.request.isForwarded()) {
