--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/AttemptHistory.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/AttemptHistory.java
@@ -1,14 +1,18 @@
 package org.vanillatrestle.daemon.internal.gateway;
 
+import java.util.Collection;
 import java.util.HashSet;
 import java.util.Optional;
 import java.util.Set;
 
+import io.netty.handler.codec.http.HttpHeaders;
 import org.vanillatrestle.RegionId;
 import org.vanillatrestle.TargetId;
 import org.vanillatrestle.Verdict;
 import org.vanillatrestle.VmId;
+import org.vanillatrestle.daemon.internal.pipeline.HeaderNames;
 import org.vanillatrestle.internal.fleet.EntryReport;
+import org.vanillatrestle.internal.gateway.GatewayTarget;
 import org.vanillatrestle.internal.gateway.RemoteEntries;
 
 /**
@@ -25,8 +29,14 @@
 
 	private final Set<TargetId> triedTargets = new HashSet<>();
 
+	// targets that may have run the request and were left although they had not failed
+	private final Set<TargetId> withdrawnTargets = new HashSet<>();
+
 	private final Set<VmId> triedVms = new HashSet<>();
 
+	// VMs that have said which target answers
+	private final Set<VmId> answeringVms = new HashSet<>();
+
 	private final Set<TargetId> reachedTargets = new HashSet<>();
 
 	private final Set<RegionId> exhaustedRegions = new HashSet<>();
@@ -50,6 +60,10 @@
 	}
 
 	void recordSend(TargetId target) {
+		if (this.withdrawnTargets.remove(target)) {
+			// the same target runs it again, which is no further one
+			this.possibleRuns--;
+		}
 		this.triedTargets.add(target);
 		this.sendCount++;
 	}
@@ -114,6 +128,18 @@
 		this.hasArrived = true;
 	}
 
+	/**
+	 * Notes that a replacement was withdrawn because it was no longer needed. If its
+	 * target may have run the request, it may get it once more: then no further target
+	 * runs the request.
+	 * @param attemptVerdict whether the request may have run in the attempt
+	 * @param target the target of this region, empty if another VM had the attempt
+	 */
+	void recordWithdrawal(Verdict attemptVerdict, Optional<TargetId> target) {
+		recordRun(attemptVerdict);
+		target.filter((id) -> attemptVerdict != Verdict.NOT_RUN).ifPresent(this.withdrawnTargets::add);
+	}
+
 	void recordVerdict(Verdict attemptVerdict) {
 		this.verdict = this.verdict.and(attemptVerdict);
 	}
@@ -127,7 +153,20 @@
 	}
 
 	boolean hasAttemptsLeft() {
-		return this.sendCount < MAX_SENDS && this.possibleRuns < this.maxRuns;
+		return this.sendCount < MAX_SENDS && mayRun(0);
+	}
+
+	private boolean mayRun(int inProgress) {
+		return mayRunElsewhere(inProgress) || !this.withdrawnTargets.isEmpty();
+	}
+
+	/**
+	 * Checks whether a target may run the request that has not run it.
+	 * @param inProgress the number of attempts in progress
+	 * @return whether fewer targets than allowed may have run it
+	 */
+	boolean mayRunElsewhere(int inProgress) {
+		return this.possibleRuns + inProgress < this.maxRuns;
 	}
 
 	/**
@@ -137,7 +176,7 @@
 	 * @return whether another attempt may follow
 	 */
 	boolean mayReplace(int inProgress) {
-		return this.sendCount + 1 < MAX_SENDS && this.possibleRuns + inProgress < this.maxRuns;
+		return this.sendCount + 1 < MAX_SENDS && mayRun(inProgress);
 	}
 
 	/**
@@ -145,7 +184,7 @@
 	 * @return whether another attempt may follow
 	 */
 	boolean hasAttemptsLeftAfterRun() {
-		return this.sendCount < MAX_SENDS && this.possibleRuns + 1 < this.maxRuns;
+		return this.sendCount < MAX_SENDS && mayRun(1);
 	}
 
 	/**
@@ -177,6 +216,45 @@
 		this.triedTargets.addAll(targets);
 	}
 
+	/**
+	 * Returns the targets of this region that must not get the request.
+	 * @param known the targets of this region
+	 * @param inProgress the number of attempts in progress
+	 * @return the tried targets, or all but those that replacements were withdrawn from,
+	 * if no further target may run the request
+	 */
+	Set<TargetId> excludedTargets(Collection<GatewayTarget> known, int inProgress) {
+		Set<TargetId> excluded = new HashSet<>(this.triedTargets);
+		if (!mayRunElsewhere(inProgress)) {
+			known.forEach((target) -> excluded.add(target.id()));
+		}
+		excluded.removeAll(this.withdrawnTargets);
+		return excluded;
+	}
+
+	/**
+	 * Notes that a VM of another region answers, and for which target.
+	 * @param vm the VM
+	 * @param headers the headers of the answer
+	 */
+	void recordRemoteAnswer(VmId vm, HttpHeaders headers) {
+		Set<TargetId> targets = RemoteError.split(headers.get(HeaderNames.ANSWERING_TARGET));
+		excludeTargets(targets);
+		if (!targets.isEmpty()) {
+			this.answeringVms.add(vm);
+		}
+	}
+
+	/**
+	 * Checks whether a VM may get the request once more. Its answer broke off, but the
+	 * target that failed is known, so that another one of its region continues.
+	 * @param entry the VM
+	 * @return whether the VM has answered and not all targets of its region were tried
+	 */
+	boolean mayContinueAt(EntryReport entry) {
+		return this.answeringVms.contains(entry.vm()) && !this.exhaustedRegions.contains(entry.region());
+	}
+
 	/**
 	 * Checks whether the request may be sent to a VM of another region.
 	 * @param entry the VM
--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/PlacementPlan.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/PlacementPlan.java
@@ -1,9 +1,11 @@
 package org.vanillatrestle.daemon.internal.gateway;
 
 import java.util.Optional;
+import java.util.function.Predicate;
 
 import org.vanillatrestle.RegionId;
 import org.vanillatrestle.internal.declaration.DeclaredRoute;
+import org.vanillatrestle.internal.fleet.EntryReport;
 import org.vanillatrestle.internal.gateway.Placement;
 import org.vanillatrestle.internal.gateway.RemoteEntries;
 import org.vanillatrestle.internal.gateway.RequestShape;
@@ -35,18 +37,24 @@
 	 * @param mayForward whether VMs of other regions may serve the request
 	 * @param avoided a region that must not get the request, because an attempt is in
 	 * progress at an unknown target there
+	 * @param inProgress the number of attempts in progress
 	 * @return the plan
 	 */
 	static PlacementPlan choose(GatewayContext context, DeclaredRoute route, RequestShape shape,
-			AttemptHistory attempts, boolean mayForward, Optional<RegionId> avoided) {
+			AttemptHistory attempts, boolean mayForward, Optional<RegionId> avoided, int inProgress) {
 		long now = System.nanoTime();
 		Optional<TargetChoice> target = route.allows(context.region())
-				? context.targets().choose(shape, attempts.triedTargets(), now) : Optional.empty();
-		Optional<RemoteEntries.RemoteChoice> vm = mayForward
-				? context.remoteVms()
-					.choose(route, shape.service().name(),
-							(entry) -> attempts.isUntried(entry) && !avoided.equals(Optional.of(entry.region())), now)
+				? context.targets().choose(shape, attempts.excludedTargets(context.targets().all(), inProgress), now)
 				: Optional.empty();
+		Optional<RemoteEntries.RemoteChoice> vm = Optional.empty();
+		if (mayForward && attempts.mayRunElsewhere(inProgress)) {
+			Predicate<EntryReport> allowed = (entry) -> !avoided.equals(Optional.of(entry.region()));
+			vm = context.remoteVms().choose(route, shape.service().name(), allowed.and(attempts::isUntried), now);
+			if (vm.isEmpty() && inProgress == 0) {
+				vm = context.remoteVms()
+					.choose(route, shape.service().name(), allowed.and(attempts::mayContinueAt), now);
+			}
+		}
 		long readMillis = context.targets().readMillis(shape);
 		return new PlacementPlan(target, vm,
 				target.map((choice) -> new Placement.Estimate(choice.waitMillis(), choice.harmfulReadingShare()))
@@ -83,6 +91,11 @@
 				route.latencyObjectiveMillis(), context.targets().readMillis(shape), remainingMillis);
 	}
 
+	static boolean hasUntriedTarget(GatewayContext context, RequestShape shape, AttemptHistory attempts) {
+		return context.targets()
+			.hasUntriedTarget(shape.service(), attempts.excludedTargets(context.targets().all(), 0));
+	}
+
 	static boolean isServedInRegion(GatewayContext context, DeclaredRoute route, RequestShape shape) {
 		return route.allows(context.region()) && context.targets().hasTarget(shape.service());
 	}
