Send the rest of a broken stream to no target twice, and wait only where no live target is left

Seen: FaultMatrixTests failed in 6 of 104 cases after the rest of a stream could go on at a target that was tried: "no target is tried twice" (up to three runs of one stream at one target that breaks it each time). Now the rest goes to an untried target, else to any data centre with a free slot; if no live target is left it waits until the deadline or until its caller leaves, and while all live targets have been tried it ends at once, as waiting would hold a caller for up to its deadline for a target that may never come.

--- a/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/policy/PlacementChooser.java
+++ b/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/policy/PlacementChooser.java
@@ -24,6 +24,8 @@
 
 	private static final long RETRY_AFTER_MILLIS = 1_000;
 
+	private static final long REST_RETRY_MILLIS = 50;
+
 	private final RegionId region;
 
 	private final TargetSelector selector;
@@ -59,12 +61,13 @@
 	/**
 	 * Chooses the target or data centre for the rest of an answer that has begun. Where
 	 * the rules for new requests find none, any other data centre with a free slot is
-	 * chosen, and then a target that was tried and that the pool still counts as sound.
+	 * chosen.
 	 * @param request the request
 	 * @param tried the targets that this request has already been sent to
 	 * @param mayForward whether the request may be forwarded to another data centre
 	 * @param nowNanos the current monotonic time in nanoseconds
-	 * @return the placement
+	 * @return the placement; {@code None} tells when to ask again, which is 0 if live
+	 * targets are there and the request has been sent to all of them
 	 */
 	Placement chooseForRest(PolicyRequest request, Set<TargetId> tried, boolean mayForward, long nowNanos) {
 		Placement placement = choose(request, tried, mayForward, nowNanos);
@@ -78,7 +81,7 @@
 				return new Placement.Forward(remote.get().region(), remote.get().dataCentre());
 			}
 		}
-		return toPlacement(chooseLocal(request, pool, Set.of(), nowNanos));
+		return new Placement.None(RefusalReason.NO_TARGET, pool.isEmpty() ? REST_RETRY_MILLIS : 0);
 	}
 
 	private Optional<Announcement> chooseLocal(PolicyRequest request, Pool pool, Set<TargetId> tried, long nowNanos) {
--- a/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/policy/RequestPolicy.java
+++ b/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/policy/RequestPolicy.java
@@ -248,8 +248,7 @@
 	}
 
 	/**
-	 * Chooses the target or data centre for the rest of an answer that has begun. A
-	 * target that was tried is chosen if nothing else is there.
+	 * Chooses the target or data centre for the rest of an answer that has begun.
 	 * @param request the request
 	 * @param tried the targets that this request has already been sent to
 	 * @param mayForward whether the request may be forwarded to another data centre
--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/pipeline/AttemptTracker.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/pipeline/AttemptTracker.java
@@ -21,9 +21,8 @@
  * Obtains placements for the attempts of one request from the policy and reports the
  * outcomes of the attempts to it.
  * <p>
- * No target is tried twice, except to continue an answer that has begun and that nothing
- * else can continue. A request is forwarded at most once, and the attempts of both VMs
- * together stay within the policy's maximum. Used on the VM's event loop.
+ * No target is tried twice, a request is forwarded at most once, and the attempts of both
+ * VMs together stay within the policy's maximum. Used on the VM's event loop.
  */
 final class AttemptTracker {
 
