Forward the rest of a stream once more when the VM that holds it is lost

Seen: a stream that was forwarded to a second region was cut when the VM there stopped, though a third region had a free engine. Cause: a request is forwarded once only, which bounds what a new request costs, but leaves the rest of an answer without a place if its own region has none. Change: the rest of an answer may be forwarded again. The next VM gets the number of the attempt with all attempts counted that the first one was allowed, so that all VMs together stay within four.

--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/pipeline/AttemptTracker.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/pipeline/AttemptTracker.java
@@ -21,8 +21,9 @@
  * Obtains placements for the attempts of one request from the policy and reports the
  * outcomes of the attempts to it.
  * <p>
- * No target is tried twice, a request is forwarded at most once, and the attempts of both
- * VMs together stay within the policy's maximum. Used on the VM's event loop.
+ * No target is tried twice as far as this VM knows. A request is forwarded at most once,
+ * except for the rest of an answer that has begun. The attempts of all VMs together stay
+ * within the policy's maximum. Used on the VM's event loop.
  */
 final class AttemptTracker {
 
@@ -65,11 +66,25 @@
 	}
 
 	/**
-	 * Chooses a place for the rest of an answer that has begun.
+	 * Chooses a place for the rest of an answer that has begun. It may be forwarded once
+	 * more, as the link to the VM that held it may be lost.
 	 * @return the placement; {@code None} if no place is there now
 	 */
 	Placement findPlacementForRest() {
-		return this.policy.choosePlacementForRest(policyRequest(), this.triedTargets, canForward(), nowNanos());
+		boolean mayForward = !this.exchange.isForwarded();
+		return this.policy.choosePlacementForRest(policyRequest(), this.triedTargets, mayForward, nowNanos());
+	}
+
+	/**
+	 * Returns the number that an attempt is sent with. A data centre that gets the
+	 * request after another one is told of all attempts that may have been made there.
+	 * @param placement where the attempt is sent
+	 * @return the number, starting at 1
+	 */
+	int attemptNumber(Placement placement) {
+		int number = this.exchange.attempts();
+		return (placement instanceof Placement.Forward && this.forwardMayHaveRun)
+				? this.policy.retries().attemptsAfterForward(number - 1) + 1 : number;
 	}
 
 	/**
--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/pipeline/DispatchRun.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/pipeline/DispatchRun.java
@@ -111,7 +111,8 @@
 
 	private void send(AttemptRun run, Placement placement) {
 		run.startFirstByteTimer(this.eventLoop, this.tracker.firstByteTimeoutNanos());
-		run.setHandle(this.starter.start(this.exchange, placement, this.exchange.attempts(), run.resumeOffset(), run));
+		run.setHandle(this.starter.start(this.exchange, placement, this.tracker.attemptNumber(placement),
+				run.resumeOffset(), run));
 	}
 
 	/**
