Continue a begun answer whose service gets no further new requests

Callers of another region got a stream cut beside a change of the configuration: its route moved to another service, the engine failed, and the VM that the rest was forwarded to refused it (NO_SERVICE), as RequestDispatcher.findService applied the weights of the new declaration, which choose the service of new requests. The answer was cut as not placed with 5.2 s left, beside a free engine. The rest of an answer now stays with the service that began it; regions are checked as before.

--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/RequestDispatcher.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/RequestDispatcher.java
@@ -141,7 +141,7 @@
 			return respondWithError(forwarded ? GatewayError.NO_SERVICE : GatewayError.NO_ROUTE, details, sink,
 					forwarded);
 		}
-		Optional<DeclaredService> service = findService(request, route.get(), forwarded);
+		Optional<DeclaredService> service = findService(request, route.get(), details, forwarded);
 		if (service.isEmpty()) {
 			return respondWithError(GatewayError.NO_SERVICE, details, sink, forwarded);
 		}
@@ -154,13 +154,15 @@
 		return routedRequest.isEnded() ? null : routedRequest;
 	}
 
-	private Optional<DeclaredService> findService(CallerRequest request, DeclaredRoute route, boolean forwarded) {
+	private Optional<DeclaredService> findService(CallerRequest request, DeclaredRoute route, CallDetails details,
+			boolean forwarded) {
 		if (!forwarded) {
 			ServiceName chosenService = route.selectService(this.context.random().nextDouble());
 			return Optional.ofNullable(this.declaration.services().get(chosenService));
 		}
 		String name = request.header(AttemptHeaders.SERVICE_HEADER);
-		boolean isOffered = route.shares()
+		// a newer declaration moves new requests only, not the rest of an answer
+		boolean isOffered = details.resumeAfterEvent() >= 0 || route.shares()
 			.stream()
 			.anyMatch((share) -> share.weight() > 0 && share.service().value().equals(name));
 		return (isOffered && Names.isValid(name))
