Offer a begun answer again to a target that rejected it

Callers got a stream cut within some 10 ms of the failure of its engine if the one other engine rejected the rest, though it had a place a moment later: a target counted as tried as soon as the request was sent to it, whether it ran or not, and without an untried one the answer was not placed. A target that rejects the rest of an answer may now get it again 500 ms later, as long as the caller waits; the four sends, the budget and the bound on engines hold as before.

--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/AttemptHistory.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/AttemptHistory.java
@@ -1,9 +1,12 @@
 package org.vanillatrestle.daemon.internal.gateway;
 
 import java.util.Collection;
+import java.util.HashMap;
 import java.util.HashSet;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.concurrent.TimeUnit;
 
 import io.netty.handler.codec.http.HttpHeaders;
 import org.vanillatrestle.RegionId;
@@ -25,6 +28,12 @@
 	// the maximum number of attempts, including those that targets refused
 	private static final int MAX_SENDS = 4;
 
+	/**
+	 * The time after which a target that rejected the rest of an answer may have a free
+	 * place.
+	 */
+	private static final long REJECTION_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
+
 	private final int maxRuns;
 
 	private final Set<TargetId> triedTargets = new HashSet<>();
@@ -32,6 +41,9 @@
 	// targets that may have run the request and were left although they had not failed
 	private final Set<TargetId> withdrawnTargets = new HashSet<>();
 
+	// when targets rejected the rest of an answer that has begun
+	private final Map<TargetId, Long> rejectedNanos = new HashMap<>();
+
 	private final Set<VmId> triedVms = new HashSet<>();
 
 	// VMs that have said which target answers
@@ -64,6 +76,7 @@
 			// the same target runs it again, which is no further one
 			this.possibleRuns--;
 		}
+		this.rejectedNanos.remove(target);
 		this.triedTargets.add(target);
 		this.sendCount++;
 	}
@@ -78,9 +91,14 @@
 	 * @param failure the failure
 	 * @param target the target of this region to which the attempt was sent, empty if it
 	 * was sent to another VM
+	 * @param begun whether the attempt was to continue an answer that has begun; a target
+	 * that rejects it may get it again when a place may have become free
 	 */
-	void recordFailure(AttemptFailure failure, Optional<TargetId> target) {
+	void recordFailure(AttemptFailure failure, Optional<TargetId> target, boolean begun) {
 		recordRun(failure.verdict());
+		if (begun && failure.cause() == AttemptFailure.Cause.REJECTED) {
+			target.ifPresent((id) -> this.rejectedNanos.put(id, System.nanoTime()));
+		}
 		this.hasArrived |= failure.reachedTarget();
 		if (failure.reachedTarget()) {
 			target.ifPresent(this.reachedTargets::add);
@@ -217,14 +235,36 @@
 	}
 
 	/**
-	 * Returns the targets of this region that must not get the request.
+	 * Returns the targets of this region that must not get the request now.
 	 * @param known the targets of this region
 	 * @param inProgress the number of attempts in progress
-	 * @return the tried targets, or all but those that replacements were withdrawn from,
-	 * if no further target may run the request
+	 * @param nowNanos the monotonic time
+	 * @return the tried targets but for those that rejected the rest of an answer some
+	 * time ago, or all but those that replacements were withdrawn from, if no further
+	 * target may run the request
 	 */
-	Set<TargetId> excludedTargets(Collection<GatewayTarget> known, int inProgress) {
+	Set<TargetId> excludedTargets(Collection<GatewayTarget> known, int inProgress, long nowNanos) {
+		return excludedTargets(known, inProgress, nowNanos, REJECTION_NANOS);
+	}
+
+	/**
+	 * Returns the targets of this region that must not get the request, not even later.
+	 * @param known the targets of this region
+	 * @param nowNanos the monotonic time
+	 * @return the targets
+	 */
+	Set<TargetId> finallyExcludedTargets(Collection<GatewayTarget> known, long nowNanos) {
+		return excludedTargets(known, 0, nowNanos, 0);
+	}
+
+	private Set<TargetId> excludedTargets(Collection<GatewayTarget> known, int inProgress, long nowNanos,
+			long rejectionNanos) {
 		Set<TargetId> excluded = new HashSet<>(this.triedTargets);
+		this.rejectedNanos.forEach((target, rejected) -> {
+			if (nowNanos - rejected >= rejectionNanos) {
+				excluded.remove(target);
+			}
+		});
 		if (!mayRunElsewhere(inProgress)) {
 			known.forEach((target) -> excluded.add(target.id()));
 		}
--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/PlacementPlan.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/PlacementPlan.java
@@ -44,7 +44,8 @@
 			AttemptHistory attempts, boolean mayForward, Optional<RegionId> avoided, int inProgress) {
 		long now = System.nanoTime();
 		Optional<TargetChoice> target = route.allows(context.region())
-				? context.targets().choose(shape, attempts.excludedTargets(context.targets().all(), inProgress), now)
+				? context.targets()
+					.choose(shape, attempts.excludedTargets(context.targets().all(), inProgress, now), now)
 				: Optional.empty();
 		Optional<RemoteEntries.RemoteChoice> vm = Optional.empty();
 		if (mayForward && attempts.mayRunElsewhere(inProgress)) {
@@ -93,7 +94,8 @@
 
 	static boolean hasUntriedTarget(GatewayContext context, RequestShape shape, AttemptHistory attempts) {
 		return context.targets()
-			.hasUntriedTarget(shape.service(), attempts.excludedTargets(context.targets().all(), 0));
+			.hasUntriedTarget(shape.service(),
+					attempts.finallyExcludedTargets(context.targets().all(), System.nanoTime()));
 	}
 
 	static boolean isServedInRegion(GatewayContext context, DeclaredRoute route, RequestShape shape) {
--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/RoutedRequest.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/RoutedRequest.java
@@ -235,7 +235,7 @@
 	}
 
 	void recordFailure(RoutedAttempt attempt, AttemptFailure failure) {
-		this.attempts.recordFailure(failure, attempt.target());
+		this.attempts.recordFailure(failure, attempt.target(), isBegun());
 		this.recorder.attemptFailed(failure, attempt, this.relay.lastEventId());
 	}
 
