--- a/vanillatrestle-bench/src/test/java/org/vanillatrestle/bench/serving/RefusedRestTests.java
+++ b/vanillatrestle-bench/src/test/java/org/vanillatrestle/bench/serving/RefusedRestTests.java
@@ -8,7 +8,6 @@
 import java.util.concurrent.TimeUnit;
 
 import org.junit.jupiter.api.AfterEach;
-import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -39,7 +38,6 @@
 	// either region may get the rest first
 	@ParameterizedTest
 	@ValueSource(ints = { 0, 1 })
-	@Tag("known-red")
 	void shouldOfferTheRestOfAStreamThatOneRegionRefusedToAnotherOne(int gone, @TempDir Path folder) throws Exception {
 		this.streams = BegunStreams.start(folder, "bagmati", OTHERS.get(0), OTHERS.get(1));
 		StandInTarget engine = this.streams.startEngine("e1", "bagmati", SLOTS);
