Write the structured events of contracted daemons to their log

LoggingSetup.apply set the level of the project's loggers only, so that the category of the structured log stayed at WARNING and a daemon of contracted routes dropped answer-cut. It follows the level of the settings now. Shown by reading; AnswerCutLogTests set the level by themselves.

--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/logging/LoggingSetup.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/logging/LoggingSetup.java
@@ -54,6 +54,7 @@
 		Formatter formatter = (format == LogFormat.JSON) ? new JsonFormatter() : new TextFormatter();
 		replaceHandlers(new FlushingHandler(output, formatter));
 		PROJECT_LOGGER.setLevel(parseLevel(level));
+		EVENT_LOGGER.setLevel(parseLevel(level));
 	}
 
 	/**
