Accept no forwarded request that may outlast a VM that shuts down

Callers got a long stream cut that could not be repeated: a VM accepted it from another VM 0.17 s after its own SIGTERM, as it accepts all requests of callers at first, and ended it 7.3 s later with its grace time. Callers with earlier directory answers need that time, other VMs don't: they can send the request elsewhere at no charge.

--- a/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/gateway/DrainWindow.java
+++ b/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/gateway/DrainWindow.java
@@ -14,6 +14,15 @@
  */
 public record DrainWindow(long unconditionalMillis, long endMillis) {
 
+	/**
+	 * Returns the window for requests that other VMs forward. These VMs can send them
+	 * elsewhere, so that none is accepted that may outlast this VM.
+	 * @return the window without a time in which all requests are accepted
+	 */
+	public DrainWindow forForwardedRequests() {
+		return new DrainWindow(0, this.endMillis);
+	}
+
 	/**
 	 * Decides whether to accept a request.
 	 * @param elapsedMillis the time since the start of the shutdown
--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/EntryVm.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/EntryVm.java
@@ -197,7 +197,7 @@
 	public void startShutdown(DrainWindow window) {
 		this.shuttingDown = true;
 		this.callerRoute.startDrain(window);
-		this.forwardRoute.startDrain(window);
+		this.forwardRoute.startDrain(window.forForwardedRequests());
 		this.loop.execute(this.fleet::sendHeartbeat);
 	}
 
