Let a begun answer wait for any place as long as its caller waits

Callers got a stream cut at once if its engine failed and the region had no other one that had not been tried, though an engine came half a second later or another region had room a moment later: only an untried target of the own region was waited for, everything else had the short wait of new requests. A VM that got the rest forwarded answers as before.

Test: PlatformBegunAnswerPlaceTests.shouldContinueABegunAnswerAtAnEngineThatComesWhileItsCallerWaits failed before (1 of 1, connection closed) and passes (1 of 1).

--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/RoutedRequest.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/RoutedRequest.java
@@ -153,7 +153,7 @@
 
 	private void waitForCapacity() {
 		if (isBegun() && this.recorder.isCallerPatient()
-				&& PlacementPlan.hasUntriedTarget(this.context, this.shape, this.attempts)) {
+				&& (!this.forwarded || PlacementPlan.hasUntriedTarget(this.context, this.shape, this.attempts))) {
 			placeLater();
 			return;
 		}
