--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/pipeline/DispatchRun.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/pipeline/DispatchRun.java
@@ -325,6 +325,9 @@
 		cancelReplacement();
 		this.finished = true;
 		this.deadlineTimer.cancel(false);
+		if (this.retryTimer != null) {
+			this.retryTimer.cancel(false);
+		}
 		this.completionListener.accept(this);
 	}
 
