Keep a target's limit when all VMs restart at once

Callers saw nothing of it; a target in need did: after the loss of all VMs it got up to 20 requests within 0.3 s, where it takes 2 a second.

Cause: limits live in the memory of the VMs. When all of them start at once, a target counts as unlimited until its first answer, and each VM sends it all that comes.

The first answer of an incarnation now counts as a statement even if it states no limit, and reaches the other VMs in the same way. Until it is known, a VM has one request in flight at the target. A VM that restarts alone is told what the others know and sends as before. Answers that can't state a limit lift the bound for the VM that got them.

Two unit tests that had two requests in flight at a target without an answer now let it answer first.

--- a/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/fleet/RequestLimit.java
+++ b/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/fleet/RequestLimit.java
@@ -7,14 +7,15 @@
  * Immutable and thread safe. The VM that reads a changed statement increments the
  * revision, so statements are ordered without a common clock.
  *
- * @param revision the number of changes known, 0 if the target has stated no limit yet
+ * @param revision the number of statements known that differ from the one before, 0 if no
+ * VM is known to have had an answer of the target yet
  * @param requestsPerSecond the rate, {@link Double#POSITIVE_INFINITY} if there is no
  * limit
  */
 public record RequestLimit(long revision, double requestsPerSecond) {
 
 	/**
-	 * The limit of a target that has not stated any.
+	 * The limit of a target that has not answered yet.
 	 */
 	public static final RequestLimit NONE = new RequestLimit(0, Double.POSITIVE_INFINITY);
 
@@ -26,6 +27,24 @@
 		return Double.isFinite(this.requestsPerSecond);
 	}
 
+	/**
+	 * Tells whether an answer of the target has stated a limit or that there is none.
+	 * @return whether the limit is known
+	 */
+	public boolean isStated() {
+		return this.revision > 0;
+	}
+
+	/**
+	 * Tells whether a statement says something new.
+	 * @param statedPerSecond the stated rate in requests per second,
+	 * {@link Double#POSITIVE_INFINITY} if there is no limit
+	 * @return whether it is the first statement or differs from the last one
+	 */
+	public boolean isChangedBy(double statedPerSecond) {
+		return !isStated() || this.requestsPerSecond != statedPerSecond;
+	}
+
 	/**
 	 * Returns the limit after a changed statement of the target.
 	 * @param changedPerSecond the stated rate in requests per second
--- a/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/fleet/TargetTable.java
+++ b/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/fleet/TargetTable.java
@@ -156,7 +156,7 @@
 			long nowNanos) {
 		Row row = this.rows.get(target);
 		if (row == null || row.report.startedMillis() != startedMillis
-				|| row.report.limit().requestsPerSecond() == requestsPerSecond) {
+				|| !row.report.limit().isChangedBy(requestsPerSecond)) {
 			return Optional.empty();
 		}
 		RequestLimit changed = row.report.limit().changedTo(requestsPerSecond);
--- a/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/gateway/GatewayTarget.java
+++ b/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/gateway/GatewayTarget.java
@@ -49,6 +49,9 @@
 
 	private long lastProgressNanos;
 
+	// whether this incarnation has answered this VM
+	private boolean hasAnswered;
+
 	private InFlightLoad own;
 
 	private InFlightLoad others;
@@ -79,6 +82,7 @@
 			this.speed = new TargetSpeed();
 			this.pausedUntilNanos = nowNanos;
 			this.limiter = null;
+			this.hasAnswered = false;
 		}
 		if (this.report == null || restarted || this.report.condition() != newer.condition()) {
 			this.conditionSinceNanos = nowNanos;
@@ -135,22 +139,22 @@
 	}
 
 	/**
-	 * Notes a limit that an answer of this incarnation states.
+	 * Notes a limit that an answer of this incarnation states, or that it states none.
 	 * @param requestsPerSecond the requests per second that the target takes from all VMs
 	 * together, {@link Double#POSITIVE_INFINITY} if there is no limit
 	 * @param sentNanos the monotonic time at which the answered request was sent
 	 * @param nowNanos the monotonic time
-	 * @return whether the statement changes the limit. A looser limit does so only if the
-	 * request was sent after the stricter one had last been stated, because answers may
-	 * overtake each other
+	 * @return whether the statement is the first one or changes the limit. A looser limit
+	 * does so only if the request was sent after the stricter one had last been stated,
+	 * because answers may overtake each other
 	 */
 	boolean isLimitChangedBy(double requestsPerSecond, long sentNanos, long nowNanos) {
-		double known = this.report.limit().requestsPerSecond();
-		if (requestsPerSecond > known) {
+		RequestLimit known = this.report.limit();
+		if (requestsPerSecond > known.requestsPerSecond()) {
 			return sentNanos - this.limitStatedNanos > 0;
 		}
 		this.limitStatedNanos = nowNanos;
-		return requestsPerSecond < known;
+		return known.isChangedBy(requestsPerSecond);
 	}
 
 	/**
@@ -178,6 +182,19 @@
 		this.lastProgressNanos = nowNanos;
 	}
 
+	void recordAnswer() {
+		this.hasAnswered = true;
+	}
+
+	/**
+	 * Returns whether the target has answered some VM of the region, so that its limit is
+	 * known.
+	 * @return whether this VM has had an answer or knows of another VM's
+	 */
+	boolean hasAnswered() {
+		return this.hasAnswered || this.report.limit().isStated();
+	}
+
 	/**
 	 * Returns the time since any answer of the target last made progress at this VM.
 	 * @param nowNanos the monotonic time
--- a/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/gateway/InFlightRequest.java
+++ b/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/gateway/InFlightRequest.java
@@ -86,8 +86,8 @@
 	 * @param requestsPerSecond the requests per second that the target takes from all VMs
 	 * together, {@link Double#POSITIVE_INFINITY} if there is no limit
 	 * @param nowNanos the monotonic time
-	 * @return whether the fleet must be told of a changed limit, which is never the case
-	 * if the target has restarted since
+	 * @return whether the fleet must be told of the first statement or a changed limit,
+	 * which is never the case if the target has restarted since
 	 */
 	public boolean limitStated(double requestsPerSecond, long nowNanos) {
 		return this.target.report().startedMillis() == this.targetStartedMillis
@@ -103,6 +103,7 @@
 			return;
 		}
 		this.answerStarted = true;
+		this.target.recordAnswer();
 		double millis = (nowNanos - this.sentNanos) / 1e6;
 		if (this.shape.service().engine().isPresent()) {
 			this.serviceSpeed.recordPromptRead(this.load.unreadTokens(), this.queuedTokensWhenSent, millis,
@@ -142,6 +143,7 @@
 		if (this.ended) {
 			return;
 		}
+		this.target.recordAnswer();
 		if (this.shape.service().engine().isEmpty()) {
 			this.serviceSpeed.recordPlainAnswer((nowNanos - this.sentNanos) / 1e6);
 		}
@@ -160,6 +162,7 @@
 	 */
 	public void answeredWithError(long nowNanos) {
 		if (!this.ended) {
+			this.target.recordAnswer();
 			this.target.health().answeredWithError();
 			end();
 		}
--- a/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/gateway/TargetEligibility.java
+++ b/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/gateway/TargetEligibility.java
@@ -75,7 +75,14 @@
 		if (target.health().isProbing() && target.own().requests() > 0) {
 			return false;
 		}
-		return isWithinColdQuota(target, service, nowNanos) && nanosUntilWithinLimit(target, nowNanos) == 0;
+		return isWithinFirstQuota(target) && isWithinColdQuota(target, service, nowNanos)
+				&& nanosUntilWithinLimit(target, nowNanos) == 0;
+	}
+
+	// VMs that all have restarted know no limit, nor how many they are, before the first
+	// answer
+	private static boolean isWithinFirstQuota(GatewayTarget target) {
+		return target.hasAnswered() || target.own().requests() == 0;
 	}
 
 	/**
--- a/vanillatrestle-core/src/test/java/org/vanillatrestle/internal/gateway/GatewayTargetsTests.java
+++ b/vanillatrestle-core/src/test/java/org/vanillatrestle/internal/gateway/GatewayTargetsTests.java
@@ -360,8 +360,8 @@
 		add("a", MODEL, TargetCondition.READY, 0);
 		RequestShape shape = shape(MODEL, 500, "p");
 		InFlightRequest request = this.targets.begin(choose(shape).orElseThrow(), shape, 0);
-		InFlightRequest other = this.targets.begin(choose(shape).orElseThrow(), shape, 0);
 		request.answerStarted(1);
+		InFlightRequest other = this.targets.begin(choose(shape).orElseThrow(), shape, 1);
 		request.answered(2);
 		request.end();
 		request.failed(false, 3);
--- a/vanillatrestle-core/src/test/java/org/vanillatrestle/internal/gateway/TargetLimitTests.java
+++ b/vanillatrestle-core/src/test/java/org/vanillatrestle/internal/gateway/TargetLimitTests.java
@@ -60,6 +60,8 @@
 
 	private static final int CONTACT_MILLIS = 6_000;
 
+	private static final int SLOW_ANSWER_MILLIS = 600;
+
 	private static final int NEWS_MILLIS = 250;
 
 	private final List<Vm> vms = new ArrayList<>();
@@ -165,6 +167,42 @@
 		assertThat(this.arrivals.stream().filter((millis) -> millis >= 13_000).count()).isGreaterThan(100);
 	}
 
+	@Test
+	void shouldKeepTheLimitWhenAllVmsHaveRestartedAndTheTargetAnswersSlowly() {
+		this.limit = 1;
+		this.controlVms.forEach((control) -> control.merge(TARGET, 0));
+		for (int i = 0; i < 3; i++) {
+			this.vms.add(new Vm(i, 0, 0));
+		}
+		Map<InFlightRequest, Vm> unanswered = new HashMap<>();
+		for (int millis = 0; millis < SLOW_ANSWER_MILLIS; millis += STEP_MILLIS) {
+			int now = millis;
+			if (now % NEWS_MILLIS == 0) {
+				exchange(now);
+			}
+			this.vms.forEach((vm) -> vm.begin(now).ifPresent((request) -> unanswered.put(request, vm)));
+		}
+		assertThat(unanswered.size()).isEqualTo(3);
+		unanswered.forEach((request, vm) -> vm.state(request, this.limit, SLOW_ANSWER_MILLIS));
+		exchange(SLOW_ANSWER_MILLIS);
+		run(SLOW_ANSWER_MILLIS, SLOW_ANSWER_MILLIS + WINDOW_MILLIS);
+		assertThat(unanswered.size() + this.arrivals.size()).isLessThanOrEqualTo(11);
+	}
+
+	@Test
+	void shouldSendFreelyAfterARestartOnceAnyVmHasHadAnAnswer() {
+		this.limit = Double.POSITIVE_INFINITY;
+		Vm first = new Vm(0, 0, 0);
+		this.vms.add(first);
+		first.send(0);
+		Vm restarted = new Vm(1, 0, 0);
+		this.vms.add(restarted);
+		exchange(NEWS_MILLIS);
+		for (int i = 0; i < 10; i++) {
+			assertThat(restarted.begin(NEWS_MILLIS)).isPresent();
+		}
+	}
+
 	private void run(int fromMillis, int untilMillis) {
 		for (int millis = fromMillis; millis < untilMillis; millis += STEP_MILLIS) {
 			step(millis);
@@ -173,6 +211,7 @@
 
 	@Test
 	void shouldNotLiftALimitForAnAnswerThatAnEarlierOneOvertook() {
+		this.controlVms.get(0).merge(TARGET.withLimit(new RequestLimit(1, Double.POSITIVE_INFINITY)), 0);
 		Vm vm = new Vm(0, 0, 0);
 		InFlightRequest slow = vm.begin(0).orElseThrow();
 		InFlightRequest limited = vm.begin(0).orElseThrow();
--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/TargetStatements.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/TargetStatements.java
@@ -40,12 +40,16 @@
 	}
 
 	private static void applyLimit(double requestsPerSecond, InFlightRequest inFlight, RoutedRequest request) {
+		boolean wasLimited = inFlight.target().report().limit().isFinite();
 		if (!inFlight.limitStated(requestsPerSecond, System.nanoTime())) {
 			return;
 		}
 		GatewayContext context = request.context();
 		context.targetStatements()
 			.limitChanged(inFlight.target().id(), inFlight.targetStartedMillis(), requestsPerSecond);
+		if (!wasLimited && !Double.isFinite(requestsPerSecond)) {
+			return;
+		}
 		context.telemetry()
 			.log(EventKind.TARGET_LIMITED, "target", inFlight.target().id(), "request", request.id(), "born",
 					inFlight.targetStartedMillis(), "perSecond",
