Don't say that a VM is ready before its replicas vote

Operators start or upgrade one VM after the other and wait for /health/ready. A VM with an empty disk got the contracts from any other VM and said that it was ready, long before its replica of the contract book or the ledger was admitted. If the next VM was stopped then, two of three voters, or fewer, were left without a majority, and no change was accepted until that VM came back.

A VM that starts again with its disk is a voter by what the disk holds, so that it is ready without a leader, as before.

--- a/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/log/LogStatus.java
+++ b/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/log/LogStatus.java
@@ -27,4 +27,13 @@
 public record LogStatus(ReplicaId self, Role role, long term, Optional<ReplicaId> leader, long leaderlessNanos,
 		long lastIndex, long commitIndex, long appliedIndex, long snapshotIndex, Membership membership,
 		boolean membershipCommitted, boolean removed, Optional<String> failure) {
+
+	/**
+	 * Whether this replica votes, as far as it knows.
+	 * @return true if it is one of the voters of the membership in effect
+	 */
+	public boolean isVoter() {
+		return this.membership.isVoter(this.self);
+	}
+
 }
--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/node/NodeParts.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/node/NodeParts.java
@@ -236,7 +236,7 @@
 	private List<HttpRoute> routes(EntryDirectory directory) {
 		OperatorKeys operators = new OperatorKeys(this.settings.operators());
 		List<HttpRoute> routes = new ArrayList<>();
-		routes.add(new HealthRoute(() -> this.contracts.isLoaded() && !this.shuttingDown));
+		routes.add(new HealthRoute(this::isReady));
 		routes.add(new MetricsRoute(this.serving.metrics()::scrape));
 		routes.add(new AnnouncementRoute(this::announce, directory::localEntries, this.settings.targetTtlMillis(),
 				this.settings.targetSecretSha256().orElse(null)));
@@ -249,6 +249,14 @@
 		return routes;
 	}
 
+	// Operators restart the next VM once this one is ready. Without this VM's votes, that
+	// could leave its groups without a majority.
+	private boolean isReady() {
+		return this.contracts.isLoaded() && !this.shuttingDown
+				&& this.control.map((part) -> part.replica().status().isVoter()).orElse(true)
+				&& this.ledger.map((part) -> part.replica().status().isVoter()).orElse(true);
+	}
+
 	private ObjectNode status() {
 		return new StatusDocument(this.settings, this.contracts, this.peers, this.control, this.ledger).build();
 	}
