Accept no contract before every control VM votes

At the first start the founder of the contract book acknowledged contracts as its only voter, and with the second VM as two of two. The loss of the founder's disk would have taken what it had acknowledged; with two voters the loss of either disk leaves no majority for good.

Cause: the contract book had no bound on its voters; the platform's declared state has one (PlatformFoundingTests). Changes that an operator sends are now refused with 503 TOO_FEW_VOTERS until as many replicas vote as there are VMs with the role CONTROL. A voter that is lost stays a voter, so that a group that was whole once accepts changes without it, as before. While the replica on a new disk replaces the one of its VM, there is one voter less for a moment, and changes are refused, as on the platform.

ControlGroupTests#shouldAcceptNoChangeBeforeTheGroupBearsTheLossOfADisk failed before (200 with one voter) and passes.

--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/control/ContractBookReplica.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/control/ContractBookReplica.java
@@ -53,7 +53,7 @@
 			.map(VmSettings::id)
 			.collect(Collectors.toUnmodifiableSet());
 		this.replica = new ReplicaHost("Book", storage, machine, transport, ReplicaSettings.of(voters));
-		this.gateway = new ReplicaBookGateway(this.replica, machine,
+		this.gateway = new ReplicaBookGateway(this.replica, machine, voters.size(),
 				(vm) -> settings.findVm(vm).map((known) -> known.httpAddress().toString()).or(Optional::empty));
 	}
 
--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/control/ReplicaBookGateway.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/control/ReplicaBookGateway.java
@@ -12,6 +12,7 @@
 import org.vanillatrestle.daemon.internal.replica.ProposalOutcome;
 import org.vanillatrestle.daemon.internal.replica.ReplicaHost;
 import org.vanillatrestle.internal.book.ContractBook;
+import org.vanillatrestle.internal.log.LogStatus;
 
 /**
  * Gives operators access to this VM's replica of the contract book.
@@ -29,29 +30,47 @@
 
 	private final ReplicatedContractBook machine;
 
+	private final int minVoters;
+
 	private final Function<VmId, Optional<String>> addresses;
 
 	/**
 	 * Creates the gateway.
 	 * @param replica the replica
 	 * @param machine its state machine
+	 * @param minVoters the number of voters below which no change is accepted
 	 * @param addresses looks up the HTTP address of a VM
 	 */
-	ReplicaBookGateway(ReplicaHost replica, ReplicatedContractBook machine,
+	ReplicaBookGateway(ReplicaHost replica, ReplicatedContractBook machine, int minVoters,
 			Function<VmId, Optional<String>> addresses) {
 		this.replica = replica;
 		this.machine = machine;
+		this.minVoters = minVoters;
 		this.addresses = addresses;
 	}
 
 	@Override
 	public CompletableFuture<ProposalResult> propose(byte[] command) {
+		LogStatus status = this.replica.status();
+		int voters = status.membership().voters().size();
+		if (voters < this.minVoters) {
+			return CompletableFuture.completedFuture(refuseForVoters(status, voters));
+		}
 		return this.replica.propose(command)
 			.thenApply(this::toProposal)
 			.completeOnTimeout(new ProposalResult.Unknown("no outcome after " + TIMEOUT_MILLIS + " ms"), TIMEOUT_MILLIS,
 					TimeUnit.MILLISECONDS);
 	}
 
+	// A replica that has just joined may not know the voters that the leader knows.
+	private ProposalResult refuseForVoters(LogStatus status, int voters) {
+		Optional<String> otherLeader = status.leader()
+			.filter((leader) -> !leader.equals(status.self()))
+			.flatMap((leader) -> this.addresses.apply(leader.vm()));
+		return otherLeader.isPresent() ? new ProposalResult.NotAccepted(otherLeader)
+				: new ProposalResult.TooFewVoters(voters, this.minVoters);
+	}
+
 	private ProposalResult toProposal(ProposalOutcome outcome) {
 		if (outcome instanceof ProposalOutcome.Committed committed) {
 			return new ProposalResult.Applied(committed.reply());
--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/operator/OutcomeAnswers.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/operator/OutcomeAnswers.java
@@ -29,6 +29,12 @@
 			notTaken.leader().ifPresent((leader) -> answer.with("leader", leader));
 			return answer;
 		}
+		if (proposal instanceof ProposalResult.TooFewVoters few) {
+			return OperatorAnswer.error(503, "TOO_FEW_VOTERS",
+					"This VM knows of " + few.voters() + " voters of the contract book, and changes need "
+							+ few.required() + ". The change was not accepted; start every VM with the role CONTROL,"
+							+ " then send it again.");
+		}
 		return unknown(((ProposalResult.Unknown) proposal).reason());
 	}
 
--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/operator/ProposalResult.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/operator/ProposalResult.java
@@ -25,6 +25,16 @@
 	record NotAccepted(Optional<String> leader) implements ProposalResult {
 	}
 
+	/**
+	 * The command was not accepted, because the group has too few voters to keep it when
+	 * as many disks are lost as a group of all its VMs tolerates.
+	 *
+	 * @param voters the number of voters that the VM knows of
+	 * @param required the number of voters from which on changes are accepted
+	 */
+	record TooFewVoters(int voters, int required) implements ProposalResult {
+	}
+
 	/**
 	 * It is unknown whether the command has been or will be committed.
 	 *
--- a/vanillatrestle-daemon/src/test/java/org/vanillatrestle/daemon/ControlGroupTests.java
+++ b/vanillatrestle-daemon/src/test/java/org/vanillatrestle/daemon/ControlGroupTests.java
@@ -97,15 +97,36 @@
 		await("its vote is a part of the majority", () -> apply(1, 2) == 200 || apply(2, 2) == 200);
 	}
 
+	// of two voters both are needed, so that the loss of a disk leaves no majority for
+	// good
+	@Test
+	void shouldAcceptNoChangeBeforeTheGroupBearsTheLossOfADisk() throws Exception {
+		start(0);
+		await("the founder leads", () -> send(request(0, "/v1/status").GET()).body().contains("\"role\":\"LEADER\""));
+		HttpResponse<String> refusal = put(0, 1);
+		assertThat(refusal.statusCode()).as("with one voter").isEqualTo(503);
+		assertThat(refusal.body()).contains("TOO_FEW_VOTERS");
+		start(1);
+		start(2);
+		await("the whole group accepts a change", () -> apply(0, 1) == 200);
+		this.nodes.get(1).close();
+		wipe(1);
+		await("the others accept a change", () -> apply(0, 2) == 200 || apply(2, 2) == 200);
+	}
+
 	private void awaitReady(int number) throws Exception {
 		await("VM " + number + " is ready", () -> readiness(number) == 200);
 	}
 
 	private int readiness(int number) throws Exception {
-		return send(request(number, "/health/ready").GET());
+		return send(request(number, "/health/ready").GET()).statusCode();
 	}
 
 	private int apply(int number, int revision) throws Exception {
+		return put(number, revision).statusCode();
+	}
+
+	private HttpResponse<String> put(int number, int revision) throws Exception {
 		Contract contract = Contract.builder(new CustomerId("himdugdha"), revision)
 			.allowedRegions(Set.of(this.vms.get(0).region()))
 			.callers(List
@@ -120,8 +141,8 @@
 			.header("Authorization", "Bearer " + OPERATOR_KEY);
 	}
 
-	private int send(HttpRequest.Builder request) throws Exception {
-		return this.http.send(request.build(), HttpResponse.BodyHandlers.discarding()).statusCode();
+	private HttpResponse<String> send(HttpRequest.Builder request) throws Exception {
+		return this.http.send(request.build(), HttpResponse.BodyHandlers.ofString());
 	}
 
 	private void start(int number) throws IOException {
