Grant retries for the requests of two windows

RetryBudget granted half of the ratio for the requests of the last window, as two windows of requests may stand behind the retries of one. So it gave away half of the ratio whenever callers stay where they are.

In any window a VM now sends retries for half of the ratio of its requests in that window and in the one before. Summed over all VMs this is half of the ratio of the requests of both windows, which is at most the ratio of the busier one, however callers move, restart or lose sight of each other; no messages are needed. The rule is checked for each window that begins with one of the last 13 buckets, so that a retry may arrive 2 s after it is granted, and only whole buckets of requests count. A burst in a single second draws on 8 s of requests before it instead of 10 s.

Weighed: the whole ratio for the window before only (a larger burst, but nothing for the requests of a VM's first window).

Tests: shouldContinueBegunAnswersOfAVmWhileTheRequestsOfTwoWindowsAllowIt, which failed before (26 of 48 granted, over 32 asked for). RetryBudgetFleetTests is stricter: callers come in waves, and retries arrive up to 2 s after they are granted; 100 tries pass. PlatformRetryBoundTests and PlatformBegunAnswerTests pass, one run each.

--- a/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/gateway/RetryBudget.java
+++ b/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/gateway/RetryBudget.java
@@ -1,5 +1,6 @@
 package org.vanillatrestle.internal.gateway;
 
+import java.util.Arrays;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.SortedSet;
@@ -11,23 +12,26 @@
 /**
  * Limits the retries of all VMs together to a fraction of the requests plus an allowance.
  * <p>
- * The VMs exchange no messages for this. Each VM may send retries for a fraction of its
- * own requests, of which half is granted: in a window a VM may still use up what it has
- * counted in the window before, while the callers have moved to other VMs, which count
- * them again. The allowance is divided among the data centres that the settings name, and
- * in each among its VMs, so that regions that don't know of each other keep to their
- * parts. Unless the deployment starts for the first time, a VM has no part until it has
- * been known for a whole window: its predecessor may have used the part, and the other
- * VMs have to reduce theirs.
+ * The VMs exchange no messages for this. In any window a VM sends retries for half of the
+ * fraction of its own requests in this window and the one before. The sum over all VMs is
+ * then at most the fraction of the requests in the busier one of the two windows, however
+ * callers move between VMs. The allowance is divided among the data centres that the
+ * settings name, and in each among its VMs, so that regions that don't know of each other
+ * keep to their parts. Unless the deployment starts for the first time, a VM has no part
+ * until it has been known for a whole window: its predecessor may have used the part, and
+ * the other VMs have to reduce theirs.
  * <p>
  * As long as answers that have begun are in progress, a share is kept for their
  * continuations: breaking them off wastes more than a new request that is refused.
  * <p>
- * Invariant: in any window the retries granted here don't exceed this VM's part. Not
- * thread safe.
+ * Invariant: in any window the retries granted here that arrive in it, up to
+ * {@link #ARRIVAL_BUCKETS} later, don't exceed this VM's part. Not thread safe.
  */
 public final class RetryBudget {
 
+	/**
+	 * A window's retries are granted for the requests in two windows.
+	 */
 	private static final double GRANTED_REQUEST_FRACTION = 0.5;
 
 	/**
@@ -49,10 +53,24 @@
 	private static final int BUCKET_COUNT = 10;
 
 	/**
-	 * Granted retries count for longer than the window: one that waits for a target
+	 * Time from a grant to the arrival at a target: a retry that waits for a target
 	 * arrives in a later window than the one in which it was granted.
 	 */
-	private static final int RETRY_BUCKET_COUNT = BUCKET_COUNT + 2;
+	private static final int ARRIVAL_BUCKETS = 2;
+
+	/**
+	 * The buckets in which retries are granted that may arrive within one window, of
+	 * which the first and the last are counted in part.
+	 */
+	private static final int RETRY_BUCKET_COUNT = BUCKET_COUNT + ARRIVAL_BUCKETS + 1;
+
+	/**
+	 * The whole buckets from the start of the window before to the first bucket whose
+	 * retries may arrive in the window.
+	 */
+	private static final int EARLIER_REQUEST_BUCKET_COUNT = BUCKET_COUNT - ARRIVAL_BUCKETS - 1;
+
+	private static final int REQUEST_BUCKET_COUNT = RETRY_BUCKET_COUNT + EARLIER_REQUEST_BUCKET_COUNT;
 
 	private final VmId self;
 
@@ -157,12 +175,23 @@
 	 */
 	public State state(ServiceName service, Purpose purpose, long nowNanos) {
 		Window window = window(service, nowNanos);
-		long requests = sum(window.requests);
-		long retries = sum(window.retries);
-		double granted = GRANTED_REQUEST_FRACTION * this.ratio * requests + allowance(nowNanos);
-		double reserved = (purpose == Purpose.BEGUN_ANSWER) ? 0
-				: Math.min(RESERVED_FRACTION * granted, window.begunAnswers);
-		return new State(requests, retries, this.vmCount, granted - reserved - retries);
+		int begunAnswers = (purpose == Purpose.BEGUN_ANSWER) ? 0 : window.begunAnswers;
+		return new State(sum(window.requests, BUCKET_COUNT), sum(window.retries, RETRY_BUCKET_COUNT), this.vmCount,
+				left(window, begunAnswers, allowance(nowNanos)));
+	}
+
+	// the least that is left in a window that begins with one of the buckets
+	private double left(Window window, int begunAnswers, double allowance) {
+		double left = Double.MAX_VALUE;
+		long requests = sum(window.requests, EARLIER_REQUEST_BUCKET_COUNT);
+		long retries = 0;
+		for (int i = 0; i < RETRY_BUCKET_COUNT; i++) {
+			requests += window.requests[EARLIER_REQUEST_BUCKET_COUNT + i];
+			retries += window.retries[i];
+			double granted = GRANTED_REQUEST_FRACTION * this.ratio * requests + allowance;
+			left = Math.min(left, granted - Math.min(RESERVED_FRACTION * granted, begunAnswers) - retries);
+		}
+		return left;
 	}
 
 	private double allowance(long nowNanos) {
@@ -170,12 +199,8 @@
 		return hasPart ? this.dataCentreAllowance / this.vmCount : 0;
 	}
 
-	private static long sum(long[] counts) {
-		long sum = 0;
-		for (long count : counts) {
-			sum += count;
-		}
-		return sum;
+	private static long sum(long[] counts, int length) {
+		return Arrays.stream(counts, 0, length).sum();
 	}
 
 	private Window window(ServiceName service, long nowNanos) {
@@ -204,7 +229,7 @@
 	 * The state of the budget of one service.
 	 *
 	 * @param requests the requests in the window
-	 * @param retries the retries granted in the window
+	 * @param retries the retries granted that may arrive in the window
 	 * @param vmCount the VMs among which the data centre's part of the allowance is
 	 * divided, 0 if this VM is not known to the control VMs
 	 * @param left the retries that may still be sent now for this purpose
@@ -217,7 +242,7 @@
 	 */
 	private static final class Window {
 
-		private final long[] requests = new long[BUCKET_COUNT];
+		private final long[] requests = new long[REQUEST_BUCKET_COUNT];
 
 		private final long[] retries = new long[RETRY_BUCKET_COUNT];
 
@@ -228,7 +253,7 @@
 
 		void advance(long newBucket) {
 			long steps = (this.currentBucket == Long.MIN_VALUE) ? 0
-					: Math.min(newBucket - this.currentBucket, RETRY_BUCKET_COUNT);
+					: Math.min(newBucket - this.currentBucket, REQUEST_BUCKET_COUNT);
 			for (long i = 0; i < steps; i++) {
 				shift(this.requests);
 				shift(this.retries);
--- a/vanillatrestle-core/src/test/java/org/vanillatrestle/internal/gateway/RetryBudgetFleetTests.java
+++ b/vanillatrestle-core/src/test/java/org/vanillatrestle/internal/gateway/RetryBudgetFleetTests.java
@@ -1,6 +1,7 @@
 package org.vanillatrestle.internal.gateway;
 
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -18,8 +19,9 @@
 
 /**
  * Simulates VMs that share a budget while they start, restart and lose sight of each
- * other, and while callers move from one VM to another. Guards against retries beyond the
- * bound, summed over all VMs.
+ * other, while callers come in waves and move from one VM to another, and while retries
+ * wait for targets. Guards against arrivals of retries beyond the bound, summed over all
+ * VMs.
  */
 class RetryBudgetFleetTests {
 
@@ -44,6 +46,11 @@
 
 	private static final int MAX_RETRIES = 3;
 
+	/**
+	 * How long a retry may wait for a target.
+	 */
+	private static final int MAX_ARRIVAL_MILLIS = 2_000;
+
 	private static final int DATA_CENTRES = 3;
 
 	@Property(tries = 100, shrinking = ShrinkingMode.OFF)
@@ -52,6 +59,8 @@
 		for (int millis = 0; millis < DAY_MILLIS; millis++) {
 			fleet.advance(millis);
 		}
+		Arrays.parallelPrefix(fleet.requests, Integer::sum);
+		Arrays.parallelPrefix(fleet.retries, Integer::sum);
 		for (int millis = 0; millis < DAY_MILLIS; millis++) {
 			fleet.assertBoundIsKept(millis);
 		}
@@ -108,23 +117,27 @@
 
 		private final List<Vm> vms = new ArrayList<>();
 
-		// the counts until the end of each millisecond
+		// the counts of each millisecond, then the sums until its end
 		private final int[] requests = new int[DAY_MILLIS + 1];
 
-		private final int[] retries = new int[DAY_MILLIS + 1];
+		private final int[] retries = new int[DAY_MILLIS + MAX_ARRIVAL_MILLIS + 1];
 
-		private final double requestsPerMilli;
+		private double requestsPerMilli;
 
 		private double rejectedShare;
 
 		Fleet(Random random) {
 			this.random = random;
-			this.requestsPerMilli = 0.02 + 0.2 * random.nextDouble();
+			changeLoad(0.02 + 0.2 * random.nextDouble());
 			for (int i = 1 + random.nextInt(8); i > 0; i--) {
 				join(0);
 			}
 		}
 
+		private void changeLoad(double newRequestsPerMilli) {
+			this.requestsPerMilli = newRequestsPerMilli;
+		}
+
 		private void join(int millis) {
 			this.vms.add(new Vm(this.vms.size(), this.random.nextInt(DATA_CENTRES)));
 			this.vms.get(this.vms.size() - 1).start(millis);
@@ -146,8 +159,6 @@
 			if (millis % BEAT_MILLIS == 0) {
 				this.vms.stream().filter((vm) -> vm.upFromMillis < millis).forEach((vm) -> vm.hear(this.vms, millis));
 			}
-			this.requests[millis + 1] = this.requests[millis];
-			this.retries[millis + 1] = this.retries[millis];
 			if (this.random.nextDouble() < this.requestsPerMilli) {
 				this.requests[millis + 1]++;
 				request(called(), millis);
@@ -155,13 +166,15 @@
 		}
 
 		private void disturb(int millis) {
-			switch (this.random.nextInt(7)) {
+			switch (this.random.nextInt(9)) {
 				case 0 -> any().start(millis + this.random.nextInt(3_000));
 				case 1 -> this.vms.forEach((vm) -> vm.start(millis + this.random.nextInt(1_000)));
 				case 2 -> join(millis);
 				case 3 -> this.vms.forEach((vm) -> vm.group = this.random.nextInt(3));
 				case 4 -> this.vms.forEach((vm) -> vm.group = 0);
 				case 5 -> this.vms.forEach((vm) -> vm.load = Math.max(0.05, this.random.nextInt(3) / 2.0));
+				case 6 -> changeLoad(0.2 * this.random.nextDouble());
+				case 7 -> changeLoad(0.002);
 				default -> reject(this.random.nextBoolean() ? 0.9 : 0.05);
 			}
 		}
@@ -178,7 +191,7 @@
 			vm.budget.recordRequest(SERVICE, nowNanos);
 			for (int i = 0; i < MAX_RETRIES && this.random.nextDouble() < this.rejectedShare
 					&& vm.budget.tryRetry(SERVICE, RetryBudget.Purpose.BEGUN_ANSWER, nowNanos); i++) {
-				this.retries[millis + 1]++;
+				this.retries[millis + this.random.nextInt(MAX_ARRIVAL_MILLIS) + 1]++;
 			}
 		}
 
--- a/vanillatrestle-core/src/test/java/org/vanillatrestle/internal/gateway/RetryBudgetTests.java
+++ b/vanillatrestle-core/src/test/java/org/vanillatrestle/internal/gateway/RetryBudgetTests.java
@@ -92,6 +92,25 @@
 		assertThat(spend(budget, RetryBudget.Purpose.BEGUN_ANSWER, 5 * WINDOW_NANOS)).isEqualTo(1);
 	}
 
+	/**
+	 * Six of 24 answers in a window fail after they have begun. The VM's part of the
+	 * allowance is 2; half of its ratio for one window's requests would add 2.4.
+	 */
+	@Test
+	void shouldContinueBegunAnswersOfAVmWhileTheRequestsOfTwoWindowsAllowIt() {
+		RetryBudget budget = new RetryBudget(new VmId("vm-0"), RATIO, 20, WINDOW_NANOS, 3, true);
+		budget.setMembers(vms(2), 0);
+		long stepNanos = WINDOW_NANOS / 24;
+		int granted = 0;
+		for (int i = 0; i < 8 * 24; i++) {
+			budget.recordRequest(SERVICE, i * stepNanos);
+			if (i % 4 == 0 && budget.tryRetry(SERVICE, RetryBudget.Purpose.BEGUN_ANSWER, i * stepNanos)) {
+				granted++;
+			}
+		}
+		assertThat(granted).isGreaterThan(8 * 4);
+	}
+
 	private static RetryBudget knownBudget(int number, int vmCount) {
 		RetryBudget budget = new RetryBudget(new VmId("vm-" + number), RATIO, ALLOWANCE, WINDOW_NANOS, 1, false);
 		budget.setMembers(vms(vmCount), -2 * WINDOW_NANOS);
