Keep a quarter of the contracted retry budget for answers that have begun

Callers of contracted routes got a stream reset in the middle if its engine failed after other requests, which engines refused, had used up the service's retry budget at the VM: RetryPolicy treated the rest of a begun answer like a request that has nothing to lose.

BegunAnswers is taken out of RetryBudget and serves both: it counts the answers in progress of which callers have a part and keeps up to a quarter of a budget for them, and no more than there are. On contracted routes the quarter is of the burst. The VM that relays the stream counts it, and so does the VM that it was forwarded to, as each pays for the retries it sends. A replacement beside an attempt that is only silent leaves the share alone, as on declared routes. The bound is as before, as nothing is added to a budget.

RequestPolicyTests: three new ones. BegunStreamRetryTests, BrokenStreamPlaceTests and the tests of RetryBudget pass.

--- a/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/gateway/RetryBudget.java
+++ b/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/gateway/RetryBudget.java
@@ -8,6 +8,7 @@
 
 import org.vanillatrestle.ServiceName;
 import org.vanillatrestle.VmId;
+import org.vanillatrestle.internal.retry.BegunAnswers;
 
 /**
  * Limits the retries of all VMs together to a fraction of the requests plus an allowance.
@@ -40,11 +41,6 @@
 	 */
 	private static final double DIVIDED_ALLOWANCE_FRACTION = 0.6;
 
-	/**
-	 * Maximum fraction of this VM's part that only begun answers may use.
-	 */
-	private static final double RESERVED_FRACTION = 0.25;
-
 	/**
 	 * Time in which the VMs of a data centre learn of a new one.
 	 */
@@ -139,7 +135,7 @@
 	 * @param nowNanos the monotonic time
 	 */
 	public void answerBegan(ServiceName service, long nowNanos) {
-		window(service, nowNanos).begunAnswers++;
+		window(service, nowNanos).begunAnswers.began();
 	}
 
 	/**
@@ -148,7 +144,7 @@
 	 * @param nowNanos the monotonic time
 	 */
 	public void begunAnswerEnded(ServiceName service, long nowNanos) {
-		window(service, nowNanos).begunAnswers--;
+		window(service, nowNanos).begunAnswers.ended();
 	}
 
 	/**
@@ -175,13 +171,12 @@
 	 */
 	public State state(ServiceName service, Purpose purpose, long nowNanos) {
 		Window window = window(service, nowNanos);
-		int begunAnswers = (purpose == Purpose.BEGUN_ANSWER) ? 0 : window.begunAnswers;
 		return new State(sum(window.requests, BUCKET_COUNT), sum(window.retries, RETRY_BUCKET_COUNT), this.vmCount,
-				left(window, begunAnswers, allowance(nowNanos)));
+				left(window, purpose, allowance(nowNanos)));
 	}
 
 	// the least that is left in a window that begins with one of the buckets
-	private double left(Window window, int begunAnswers, double allowance) {
+	private double left(Window window, Purpose purpose, double allowance) {
 		double left = Double.MAX_VALUE;
 		long requests = sum(window.requests, EARLIER_REQUEST_BUCKET_COUNT);
 		long retries = 0;
@@ -189,7 +184,8 @@
 			requests += window.requests[EARLIER_REQUEST_BUCKET_COUNT + i];
 			retries += window.retries[i];
 			double granted = GRANTED_REQUEST_FRACTION * this.ratio * requests + allowance;
-			left = Math.min(left, granted - Math.min(RESERVED_FRACTION * granted, begunAnswers) - retries);
+			double reserved = (purpose == Purpose.BEGUN_ANSWER) ? 0 : window.begunAnswers.reserved(granted);
+			left = Math.min(left, granted - reserved - retries);
 		}
 		return left;
 	}
@@ -247,7 +243,7 @@
 		private final long[] retries = new long[RETRY_BUCKET_COUNT];
 
 		// in progress at this VM, for the callers that asked it
-		private int begunAnswers;
+		private final BegunAnswers begunAnswers = new BegunAnswers();
 
 		private long currentBucket = Long.MIN_VALUE;
 
--- a/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/policy/RequestPolicy.java
+++ b/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/policy/RequestPolicy.java
@@ -357,7 +357,7 @@
 	}
 
 	/**
-	 * Decides whether a request may be retried; if so, takes a retry from the budget.
+	 * Takes a retry from the budget for a request whose answer has not begun.
 	 * @param request the request
 	 * @param verdict the combined verdict of all attempts so far
 	 * @param attempts the number of attempts so far, without the sender's
@@ -365,7 +365,7 @@
 	 * @return {@code true} if the request may be retried
 	 */
 	public boolean tryAcquireRetry(PolicyRequest request, Verdict verdict, int attempts, long nowNanos) {
-		return this.retries.tryAcquireRetry(request, verdict, attempts, nowNanos);
+		return this.retries.acquireRetry(request, verdict, attempts, false, nowNanos).isEmpty();
 	}
 
 	/**
--- a/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/retry/RetryPolicy.java
+++ b/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/retry/RetryPolicy.java
@@ -13,11 +13,12 @@
 /**
  * Decides whether a failed request is retried, and after which back-off.
  * <p>
- * Since this VM started, the retries of a customer's service never exceed the budgeted
- * percentage of the requests that this VM was the first to send to a target, plus the
- * burst. Over all VMs, each request counts at most once, and the burst once for each
- * start of a VM and each removal of the customer. Not thread safe: confined to the VM's
- * event loop.
+ * A share of a budget is kept for answers that have begun as long as some are in
+ * progress. Since this VM started, the retries of a customer's service never exceed the
+ * budgeted percentage of the requests that this VM was the first to send to a target,
+ * plus the burst. Over all VMs, each request counts at most once, and the burst once for
+ * each start of a VM and each removal of the customer. Not thread safe: confined to the
+ * VM's event loop.
  */
 public final class RetryPolicy {
 
@@ -55,31 +56,43 @@
 	}
 
 	/**
-	 * Decides whether a request may be retried and, if so, takes one retry from the
-	 * budget.
+	 * Notes that a caller has got a part of an answer, which a retry may have to
+	 * continue.
 	 * @param request the request
-	 * @param verdict the combined verdict of all attempts so far
-	 * @param attempts the number of attempts so far, without the sender's
-	 * @param nowNanos the current monotonic time in nanoseconds
-	 * @return {@code true} if the request may be retried
 	 */
-	public boolean tryAcquireRetry(PolicyRequest request, Verdict verdict, int attempts, long nowNanos) {
-		if (findDenial(request, verdict, attempts, nowNanos).isPresent()) {
-			return false;
-		}
-		budget(request).retries--;
-		return true;
+	public void answerBegan(PolicyRequest request) {
+		budget(request).begunAnswers.began();
+	}
+
+	/**
+	 * Notes that an answer that had begun has ended.
+	 * @param request the request
+	 */
+	public void begunAnswerEnded(PolicyRequest request) {
+		budget(request).begunAnswers.ended();
 	}
 
 	/**
-	 * Returns why a request may not be retried. Takes nothing from the budget.
+	 * Decides whether a request may be retried and, if so, takes one retry from the
+	 * budget.
 	 * @param request the request
 	 * @param verdict the combined verdict of all attempts so far
 	 * @param attempts the number of attempts so far, without the sender's
+	 * @param begun whether the retry continues an answer of which the caller has a part
 	 * @param nowNanos the current monotonic time in nanoseconds
-	 * @return the reason, or empty if it may be retried
+	 * @return why it may not be retried, or empty if the retry is taken
 	 */
-	public Optional<RetryDenial> findDenial(PolicyRequest request, Verdict verdict, int attempts, long nowNanos) {
+	public Optional<RetryDenial> acquireRetry(PolicyRequest request, Verdict verdict, int attempts, boolean begun,
+			long nowNanos) {
+		Optional<RetryDenial> denial = findDenial(request, verdict, attempts, begun, nowNanos);
+		if (denial.isEmpty()) {
+			budget(request).retries--;
+		}
+		return denial;
+	}
+
+	private Optional<RetryDenial> findDenial(PolicyRequest request, Verdict verdict, int attempts, boolean begun,
+			long nowNanos) {
 		if (!verdict.permitsRepeat(request.repeat())) {
 			return Optional.of(RetryDenial.NOT_REPEATABLE);
 		}
@@ -90,7 +103,9 @@
 		if (request.deadlineNanos() - nowNanos <= this.settings.backoffNanos()) {
 			return Optional.of(RetryDenial.TIME);
 		}
-		return (budget(request).retries < 1) ? Optional.of(RetryDenial.BUDGET) : Optional.empty();
+		Budget budget = budget(request);
+		double reserved = begun ? 0 : budget.begunAnswers.reserved(this.settings.burst());
+		return (budget.retries - reserved < 1) ? Optional.of(RetryDenial.BUDGET) : Optional.empty();
 	}
 
 	/**
@@ -140,6 +155,8 @@
 
 	private static final class Budget {
 
+		private final BegunAnswers begunAnswers = new BegunAnswers();
+
 		private double retries;
 
 		Budget(double retries) {
--- a/vanillatrestle-core/src/test/java/org/vanillatrestle/internal/policy/RequestPolicyTests.java
+++ b/vanillatrestle-core/src/test/java/org/vanillatrestle/internal/policy/RequestPolicyTests.java
@@ -182,6 +182,40 @@
 		assertThat(retries).isEqualTo(this.retryBurst());
 	}
 
+	@Test
+	void shouldKeepRetriesForAsManyAnswersAsHaveBegun() {
+		PolicyRequest request = this.fixture.request();
+		this.policy.retries().answerBegan(request);
+		this.policy.retries().answerBegan(request);
+		assertThat(acquireRetries(false)).isEqualTo(retryBurst() - 2);
+		assertThat(acquireRetries(true)).isEqualTo(2);
+	}
+
+	@Test
+	void shouldKeepNoRetriesForBegunAnswersThatHaveEnded() {
+		PolicyRequest request = this.fixture.request();
+		this.policy.retries().answerBegan(request);
+		this.policy.retries().begunAnswerEnded(request);
+		assertThat(acquireRetries(false)).isEqualTo(retryBurst());
+	}
+
+	@Test
+	void shouldKeepAQuarterOfTheRetryBurstForBegunAnswersAtMost() {
+		for (int i = 0; i < 100; i++) {
+			this.policy.retries().answerBegan(this.fixture.request());
+		}
+		assertThat(acquireRetries(false)).isEqualTo(retryBurst() * 3 / 4);
+		assertThat(acquireRetries(true)).isEqualTo(retryBurst() / 4);
+	}
+
+	private int acquireRetries(boolean begun) {
+		int acquired = 0;
+		while (this.policy.retries().acquireRetry(this.fixture.request(), Verdict.NOT_RUN, 1, begun, 0).isEmpty()) {
+			acquired++;
+		}
+		return acquired;
+	}
+
 	@Test
 	void shouldAddForwardedRequestToRetryBudgetOfOneVmOnly() {
 		PolicyFixture receiver = new PolicyFixture();
--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/pipeline/AttemptRun.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/pipeline/AttemptRun.java
@@ -210,6 +210,7 @@
 		this.run.cancelReplacement();
 		this.lastPartNanos = System.nanoTime();
 		this.relay.body(data);
+		this.run.partRelayed();
 		if (this.relay instanceof EventStreamRelay stream && stream.hasOversizedEvent()) {
 			cancelAndFail(AttemptOutcome.FAILED, "a stream event is too long");
 			return;
--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/pipeline/AttemptTracker.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/pipeline/AttemptTracker.java
@@ -39,6 +39,8 @@
 
 	private boolean forwardMayHaveRun;
 
+	private boolean begun;
+
 	AttemptTracker(Exchange exchange, RequestPolicy policy, LongSupplier clockNanos) {
 		this.exchange = exchange;
 		this.policy = policy;
@@ -136,18 +138,33 @@
 		this.forwardMayHaveRun |= attempt.placement() instanceof Placement.Forward && verdict != Verdict.NOT_RUN;
 	}
 
+	/**
+	 * Notes that the caller has a part of the answer.
+	 */
+	void answerBegan() {
+		if (!this.begun) {
+			this.begun = true;
+			this.policy.retries().answerBegan(policyRequest());
+		}
+	}
+
+	/**
+	 * Notes that no further attempt follows.
+	 */
+	void ended() {
+		if (this.begun) {
+			this.begun = false;
+			this.policy.retries().begunAnswerEnded(policyRequest());
+		}
+	}
+
 	/**
 	 * Charges a retry, if the request may have one.
 	 * @param verdict the combined verdict of all attempts so far
 	 * @return why no further attempt may be made, or empty if the retry is charged
 	 */
 	Optional<RetryDenial> acquireRetry(Verdict verdict) {
-		Optional<RetryDenial> denial = this.policy.retries()
-			.findDenial(policyRequest(), verdict, attemptsAtAllVms(), nowNanos());
-		if (denial.isEmpty()) {
-			tryAcquireRetry(verdict);
-		}
-		return denial;
+		return this.policy.retries().acquireRetry(policyRequest(), verdict, attemptsAtAllVms(), this.begun, nowNanos());
 	}
 
 	/**
--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/pipeline/DispatchRun.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/pipeline/DispatchRun.java
@@ -73,6 +73,7 @@
 		this.exchange.writabilityListener(this::writabilityChanged);
 		long remainingNanos = this.exchange.deadlineNanos() - this.tracker.nowNanos();
 		this.deadlineTimer = this.eventLoop.schedule(this::deadlinePassed, remainingNanos, TimeUnit.NANOSECONDS);
+		partRelayed();
 		startAttempt(null);
 	}
 
@@ -176,6 +177,15 @@
 		this.tracker.firstByteReceived(run.attempt());
 	}
 
+	/**
+	 * Called when a part of the answer may have been passed to the caller.
+	 */
+	void partRelayed() {
+		if (isBegun()) {
+			this.tracker.answerBegan();
+		}
+	}
+
 	void attemptAnswered(AttemptRun run) {
 		this.currentAttempt = null;
 		this.verdict = Verdict.RAN;
@@ -323,6 +333,7 @@
 
 	private void finish() {
 		cancelReplacement();
+		this.tracker.ended();
 		this.finished = true;
 		this.deadlineTimer.cancel(false);
 		if (this.retryTimer != null) {
