Count no refused connection among the attempts of a request

Callers got a stream cut in the middle, and new requests a 503, although a sound engine had room: engines that had crashed and were still reported as ready refused the connections, and each refusal counted among the four attempts of a request. Engines that crash together are reported as ready until their silence is noticed, so that one failure of a stream's engine can meet three of them.

An attempt that certainly did not reach a target of this region no longer counts. Every request still ends: a target that refused is not tried again for it, what reached a target and what was sent to other VMs counts as before, the deadline ends all, and a new request without an untried target is refused after its short wait. For new requests the count was no protection either: a refusal takes no time, a connection that is not established in 600 ms ejects its target for the requests behind.

--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/AttemptHistory.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/AttemptHistory.java
@@ -25,7 +25,11 @@
  */
 final class AttemptHistory {
 
-	// the maximum number of attempts, including those that targets refused
+	/**
+	 * The maximum number of attempts, including those that targets rejected and all that
+	 * were sent to other VMs. An attempt that certainly did not reach a target of this
+	 * region is not counted, as the request is not sent to that target again.
+	 */
 	private static final int MAX_SENDS = 4;
 
 	/**
@@ -61,6 +65,8 @@
 
 	private int sendCount;
 
+	private int unreachedTargetCount;
+
 	private int possibleRuns;
 
 	/**
@@ -103,6 +109,9 @@
 		if (failure.reachedTarget()) {
 			target.ifPresent(this.reachedTargets::add);
 		}
+		else if (target.isPresent()) {
+			this.unreachedTargetCount++;
+		}
 	}
 
 	/**
@@ -171,7 +180,11 @@
 	}
 
 	boolean hasAttemptsLeft() {
-		return this.sendCount < MAX_SENDS && mayRun(0);
+		return sendsLeft() > 0 && mayRun(0);
+	}
+
+	private int sendsLeft() {
+		return MAX_SENDS - (this.sendCount - this.unreachedTargetCount);
 	}
 
 	private boolean mayRun(int inProgress) {
@@ -194,7 +207,7 @@
 	 * @return whether another attempt may follow
 	 */
 	boolean mayReplace(int inProgress) {
-		return this.sendCount + 1 < MAX_SENDS && mayRun(inProgress);
+		return sendsLeft() > 1 && mayRun(inProgress);
 	}
 
 	/**
@@ -202,7 +215,7 @@
 	 * @return whether another attempt may follow
 	 */
 	boolean hasAttemptsLeftAfterRun() {
-		return this.sendCount < MAX_SENDS && mayRun(1);
+		return sendsLeft() > 0 && mayRun(1);
 	}
 
 	/**
