Refuse with a time to come back what no target could take, also after an attempt

Callers of contracted routes got 502 TARGET_BROKE without Retry-After for requests that certainly had not run, if a VM had sent them to a target or a region that could not be reached or had no room, and no other was left. The same request a moment later got 503 NO_CAPACITY.

Cause: DispatchRun chose the refusal by whether there had been an attempt, not by whether the request may have run.

What has not run is now refused as if it had never been sent, with the time that the policy states.

--- a/vanillatrestle-bench/src/test/java/org/vanillatrestle/bench/serving/ThreeRegionTests.java
+++ b/vanillatrestle-bench/src/test/java/org/vanillatrestle/bench/serving/ThreeRegionTests.java
@@ -143,11 +143,24 @@
 	void shouldNeverSendARequestToARegionThatTheContractForbids() throws Exception {
 		int before = engine.runs().size();
 		HttpResponse<String> answer = chat("bagmati", BOUND);
-		assertThat(answer.statusCode()).isEqualTo(503);
+		assertThat(answer.statusCode()).as(answer.body()).isEqualTo(503);
 		assertThat(answer.headers().firstValue("Vanillatrestle-Verdict")).contains("NOT_RUN");
 		assertThat(engine.runs()).hasSize(before);
 	}
 
+	@Test
+	void shouldTellWhenToComeBackIfTheOnlyEngineThatTheContractAllowsHasCrashed() throws Exception {
+		List<StandInTarget> crashed = startEngines("lumbini", 1);
+		Regions.await(() -> chat("bagmati", BOUND).statusCode() == 200);
+		crashed.forEach(StandInTarget::close);
+
+		HttpResponse<String> answer = chat("bagmati", BOUND);
+
+		crashed.forEach((gone) -> gone.announcer().leave().join());
+		assertThat(answer.statusCode()).as(answer.body()).isEqualTo(503);
+		assertThat(answer.body()).contains("\"NO_CAPACITY\"", "\"NOT_RUN\"", "\"retryAfterMillis\"");
+	}
+
 	@Test
 	void shouldNameOtherEntryVmsWhereTheRegionIsForbidden() throws Exception {
 		HttpResponse<String> answer = chat("koshi", BOUND);
--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/pipeline/DispatchRun.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/pipeline/DispatchRun.java
@@ -83,9 +83,7 @@
 		}
 		Placement placement = findPlacement();
 		if (placement instanceof Placement.None none) {
-			Refusal refusal = (lastFailure != null) ? Refusals.targetFailed(lastFailure, this.verdict)
-					: Refusals.noTarget(this.exchange.call().service().name().value(), none.retryAfterMillis());
-			fail(refusal, CutCause.NOT_PLACED, lastFailure);
+			failNotPlaced(none, lastFailure);
 			return;
 		}
 		if (!this.exchange.canStart()) {
@@ -250,21 +248,29 @@
 			startAttempt(lastFailure);
 			return;
 		}
-		this.admissionFilter.readmit(this.exchange, () -> startAttempt(lastFailure), () -> notPlaced(lastFailure));
+		this.admissionFilter.readmit(this.exchange, () -> startAttempt(lastFailure), () -> notReadmitted(lastFailure));
 	}
 
 	private void retryOrFail(Placement.None none, String lastFailure) {
 		// the VM in front knows more places than the one that it forwarded to
 		boolean mayWait = isBegun() && !this.exchange.isForwarded() && none.retryAfterMillis() > 0;
 		if (!mayWait) {
-			notPlaced(lastFailure);
+			failNotPlaced(none, lastFailure);
 			return;
 		}
 		this.retryTimer = this.eventLoop.schedule(() -> retry(lastFailure), none.retryAfterMillis(),
 				TimeUnit.MILLISECONDS);
 	}
 
-	private void notPlaced(String lastFailure) {
+	// a request that has not run is refused like one that was never sent
+	private void failNotPlaced(Placement.None none, String lastFailure) {
+		Refusal refusal = (this.verdict == Verdict.NOT_RUN)
+				? Refusals.noTarget(this.exchange.call().service().name().value(), none.retryAfterMillis())
+				: Refusals.targetFailed(lastFailure, this.verdict);
+		fail(refusal, CutCause.NOT_PLACED, lastFailure);
+	}
+
+	private void notReadmitted(String lastFailure) {
 		if (!this.finished) {
 			fail(Refusals.targetFailed(lastFailure, this.verdict), CutCause.NOT_PLACED, lastFailure);
 		}
