Answer what arrived before a server stopped, before its connections close

Cause: the check that no request is in progress and the closing of idle connections run in one task of the event loop. What arrived since the loop last read, which is long when the machine is busy, was neither accepted nor read, and closed. The client sees the end of the stream first, not a reset, as a registered channel is shut down before it is closed.

The stop now goes in three passes of the loop: requests are refused and those in progress end; then the listener closes, after its queue was accepted; then idle connections close, after they were read. A request that comes in between is refused as not run.

ServerDrainTests failed before (no answer) and passes.

--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/http/CallerConnection.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/http/CallerConnection.java
@@ -339,18 +339,19 @@
 	@Override
 	public void userEventTriggered(ChannelHandlerContext context, Object event) throws Exception {
 		if (event instanceof ServerStop stop) {
-			stop(context, stop);
+			stop(stop);
+			return;
+		}
+		if (event == ServerStop.READ && !this.requestActive && !this.closing && this.head == null) {
+			context.close();
 			return;
 		}
 		super.userEventTriggered(context, event);
 	}
 
-	private void stop(ChannelHandlerContext context, ServerStop stop) {
+	private void stop(ServerStop stop) {
 		this.stopping = true;
 		if (!this.requestActive) {
-			if (!this.closing && this.head == null) {
-				context.close();
-			}
 			return;
 		}
 		if (this.answerPassed) {
--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/http/HttpServer.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/http/HttpServer.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
 
@@ -39,6 +40,8 @@
 
 	private static final int ACCEPT_BACKLOG = 4_096;
 
+	private static final long STOP_STEP_MILLIS = 1;
+
 	private final EventLoop eventLoop;
 
 	private final HttpLimits limits;
@@ -55,7 +58,8 @@
 
 	private volatile boolean shuttingDown;
 
-	private boolean stopped;
+	// null until the shutdown ends
+	private ServerStop stop;
 
 	private Channel server;
 
@@ -105,7 +109,7 @@
 	}
 
 	private void initConnection(SocketChannel channel) {
-		if (this.stopped || this.connections.size() >= this.limits.maxConnections()) {
+		if (this.connections.size() >= this.limits.maxConnections()) {
 			channel.close();
 			return;
 		}
@@ -117,6 +121,9 @@
 		channel.pipeline()
 			.addLast(new CallerConnection(this.limits, this.memory, this.routes, () -> this.shuttingDown,
 					this.activeRequests, this.startedRequests));
+		if (this.stop != null) {
+			channel.pipeline().fireUserEventTriggered(this.stop);
+		}
 	}
 
 	/**
@@ -127,17 +134,26 @@
 	}
 
 	/**
-	 * Ends the shutdown: accepts no connection, closes those that are idle, refuses
-	 * requests that are still being received and ends those in progress. Must be called
-	 * on the event loop.
-	 * @param stop counts what was not complete
+	 * Ends the shutdown: refuses requests that are still being received and ends those in
+	 * progress. Then accepts no further connection, and closes those that are idle. Must
+	 * be called on the event loop.
+	 * @param newStop counts what was not complete
 	 */
-	void stop(ServerStop stop) {
-		this.stopped = true;
-		if (this.server != null) {
-			this.server.close();
-		}
-		this.connections.forEach((connection) -> connection.pipeline().fireUserEventTriggered(stop));
+	void stop(ServerStop newStop) {
+		this.stop = newStop;
+		this.connections.forEach((connection) -> connection.pipeline().fireUserEventTriggered(newStop));
+		afterNextReads(() -> {
+			if (this.server != null) {
+				this.server.close();
+			}
+			afterNextReads(() -> this.connections
+				.forEach((connection) -> connection.pipeline().fireUserEventTriggered(ServerStop.READ)));
+		});
+	}
+
+	// what arrived while the event loop was busy is accepted and read before a timer runs
+	private void afterNextReads(Runnable step) {
+		this.eventLoop.schedule(step, STOP_STEP_MILLIS, TimeUnit.MILLISECONDS);
 	}
 
 	/**
--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/http/ServerStop.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/http/ServerStop.java
@@ -7,6 +7,12 @@
  */
 final class ServerStop {
 
+	/**
+	 * Tells the connections that what had arrived before the stop has been read, so that
+	 * those without a request close.
+	 */
+	static final Object READ = new Object();
+
 	private int requestsEnded;
 
 	private int answersUnwritten;
