Count the run of a withdrawn replacement that rejects the rest

A stream could run at one target more than its route's max-attempts allow.

Cause: a target whose replacement was withdrawn may get the rest of the answer, and its run is taken from the count when it does. If it then rejected the rest, the earlier run was not counted any more, and another target got the rest.

The earlier run now counts again when the new attempt ends without a run, unless the target can't be reached: then it has ended, which the rule leaves out.

AttemptHistoryTests.shouldRunAtNoThirdTargetWhenTheWithdrawnOneRejectsTheRest failed before (a further target was allowed).

--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/AttemptHandover.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/AttemptHandover.java
@@ -81,7 +81,7 @@
 	 */
 	void giveReplacementUp() {
 		RoutedAttempt stalled = this.replacement;
-		this.request.attempts().recordRun(cancelReplacement());
+		this.request.attempts().recordRun(cancelReplacement(), stalled.target());
 		record(EventKind.REPLACEMENT_WITHDRAWN, stalled);
 	}
 
--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/AttemptHistory.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/AttemptHistory.java
@@ -45,6 +45,9 @@
 	// targets that may have run the request and were left although they had not failed
 	private final Set<TargetId> withdrawnTargets = new HashSet<>();
 
+	// targets in withdrawnTargets until the request was sent to them once more
+	private final Set<TargetId> sentAgainTargets = new HashSet<>();
+
 	// when targets rejected the rest of an answer that has begun
 	private final Map<TargetId, Long> rejectedNanos = new HashMap<>();
 
@@ -81,6 +84,7 @@
 		if (this.withdrawnTargets.remove(target)) {
 			// the same target runs it again, which is no further one
 			this.possibleRuns--;
+			this.sentAgainTargets.add(target);
 		}
 		this.rejectedNanos.remove(target);
 		this.triedTargets.add(target);
@@ -101,10 +105,16 @@
 	 * that rejects it may get it again when a place may have become free
 	 */
 	void recordFailure(AttemptFailure failure, Optional<TargetId> target, boolean begun) {
-		recordRun(failure.verdict());
-		if (begun && failure.cause() == AttemptFailure.Cause.REJECTED) {
+		if (failure.cause() == AttemptFailure.Cause.UNREACHABLE) {
+			// a target that has ended doesn't go on with an earlier run
+			target.ifPresent(this.sentAgainTargets::remove);
+		}
+		boolean mayTakeRestLater = begun && failure.cause() == AttemptFailure.Cause.REJECTED;
+		if (mayTakeRestLater) {
 			target.ifPresent((id) -> this.rejectedNanos.put(id, System.nanoTime()));
+			target.filter(this.sentAgainTargets::contains).ifPresent(this.withdrawnTargets::add);
 		}
+		recordRun(failure.verdict(), target);
 		this.hasArrived |= failure.reachedTarget();
 		if (failure.reachedTarget()) {
 			target.ifPresent(this.reachedTargets::add);
@@ -115,14 +125,20 @@
 	}
 
 	/**
-	 * Notes that an attempt ended that counts as a run if it may have run.
+	 * Notes that an attempt ended that counts as a run if its target may have run the
+	 * request, then or in an earlier attempt.
 	 * @param attemptVerdict whether the request may have run in the attempt
+	 * @param target the target of this region, empty if another VM had the attempt
+	 * @return whether it counts as a run
 	 */
-	void recordRun(Verdict attemptVerdict) {
+	boolean recordRun(Verdict attemptVerdict, Optional<TargetId> target) {
 		recordVerdict(attemptVerdict);
-		if (attemptVerdict != Verdict.NOT_RUN) {
-			this.possibleRuns++;
+		boolean ranBefore = target.filter(this.sentAgainTargets::remove).isPresent();
+		if (!ranBefore && attemptVerdict == Verdict.NOT_RUN) {
+			return false;
 		}
+		this.possibleRuns++;
+		return true;
 	}
 
 	/**
@@ -163,8 +179,9 @@
 	 * @param target the target of this region, empty if another VM had the attempt
 	 */
 	void recordWithdrawal(Verdict attemptVerdict, Optional<TargetId> target) {
-		recordRun(attemptVerdict);
-		target.filter((id) -> attemptVerdict != Verdict.NOT_RUN).ifPresent(this.withdrawnTargets::add);
+		if (recordRun(attemptVerdict, target)) {
+			target.ifPresent(this.withdrawnTargets::add);
+		}
 	}
 
 	void recordVerdict(Verdict attemptVerdict) {
@@ -273,15 +290,19 @@
 	private Set<TargetId> excludedTargets(Collection<GatewayTarget> known, int inProgress, long nowNanos,
 			long rejectionNanos) {
 		Set<TargetId> excluded = new HashSet<>(this.triedTargets);
+		Set<TargetId> mayRunAgain = new HashSet<>(this.withdrawnTargets);
 		this.rejectedNanos.forEach((target, rejected) -> {
 			if (nowNanos - rejected >= rejectionNanos) {
 				excluded.remove(target);
 			}
+			else {
+				mayRunAgain.remove(target);
+			}
 		});
 		if (!mayRunElsewhere(inProgress)) {
 			known.forEach((target) -> excluded.add(target.id()));
 		}
-		excluded.removeAll(this.withdrawnTargets);
+		excluded.removeAll(mayRunAgain);
 		return excluded;
 	}
 
