Grant a retry anew that has waited longer than the budget reckons with

More retries could arrive within a window than the rule allows. Callers don't see that; engines in need do.

Cause: a retry is charged when the attempt before it fails. The bound holds for retries that arrive within 2 s of that. The rest of a begun answer waits for a place for as long as its caller does, four times the objective or 2 s at least, and each refused connection on the way takes up to 600 ms more.

A charged retry that is sent two buckets after its grant or later now needs a new grant, which takes the place of the former one in the count. Without one it goes on waiting as without a place, and is cut when its caller's patience ends. That trades such answers for the bound.

RoutedRequest no longer cancels the timer of its next look for a place, which checks anyway whether the request has ended.

What isn't mended: a VM that got the rest forwarded may let it wait for an untried target of its region, without the budget of the VM in front.

--- a/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/gateway/RetryBudget.java
+++ b/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/gateway/RetryBudget.java
@@ -3,6 +3,7 @@
 import java.util.Arrays;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.OptionalLong;
 import java.util.SortedSet;
 import java.util.concurrent.TimeUnit;
 
@@ -162,6 +163,33 @@
 		return true;
 	}
 
+	/**
+	 * Requests permission to send a granted retry that has waited. One that may arrive
+	 * later than {@link #ARRIVAL_BUCKETS} after its grant needs a new grant, which takes
+	 * the place of the former one.
+	 * @param service the service of the request
+	 * @param purpose what the retry is for
+	 * @param grantedNanos the monotonic time of its grant
+	 * @param nowNanos the monotonic time
+	 * @return the time of the grant under which it may be sent now, empty if it has to
+	 * wait
+	 */
+	public OptionalLong tryRenew(ServiceName service, Purpose purpose, long grantedNanos, long nowNanos) {
+		Window window = window(service, nowNanos);
+		long age = bucket(nowNanos) - bucket(grantedNanos);
+		if (age < ARRIVAL_BUCKETS) {
+			return OptionalLong.of(grantedNanos);
+		}
+		int withdrawn = (age < RETRY_BUCKET_COUNT) ? 1 : 0;
+		int grantedBucket = (int) Math.min(age, RETRY_BUCKET_COUNT - 1);
+		window.retries[grantedBucket] -= withdrawn;
+		if (tryRetry(service, purpose, nowNanos)) {
+			return OptionalLong.of(nowNanos);
+		}
+		window.retries[grantedBucket] += withdrawn;
+		return OptionalLong.empty();
+	}
+
 	/**
 	 * Returns the state of a service's budget.
 	 * @param service the service
@@ -201,10 +229,14 @@
 
 	private Window window(ServiceName service, long nowNanos) {
 		Window window = this.windows.computeIfAbsent(service, (key) -> new Window());
-		window.advance(Math.floorDiv(nowNanos, Math.max(1, this.windowNanos / BUCKET_COUNT)));
+		window.advance(bucket(nowNanos));
 		return window;
 	}
 
+	private long bucket(long nanos) {
+		return Math.floorDiv(nanos, Math.max(1, this.windowNanos / BUCKET_COUNT));
+	}
+
 	/**
 	 * What a retry is for.
 	 */
--- a/vanillatrestle-core/src/test/java/org/vanillatrestle/internal/gateway/RetryBudgetFleetTests.java
+++ b/vanillatrestle-core/src/test/java/org/vanillatrestle/internal/gateway/RetryBudgetFleetTests.java
@@ -47,9 +47,11 @@
 	private static final int MAX_RETRIES = 3;
 
 	/**
-	 * How long a retry may wait for a target.
+	 * How long a retry may wait for a target, as long as callers of streams do.
 	 */
-	private static final int MAX_ARRIVAL_MILLIS = 2_000;
+	private static final int MAX_ARRIVAL_MILLIS = 8_000;
+
+	private static final int POLL_MILLIS = 25;
 
 	private static final int DATA_CENTRES = 3;
 
@@ -108,6 +110,12 @@
 
 	}
 
+	/**
+	 * A retry that waits for a target.
+	 */
+	private record Retry(RetryBudget budget, int grantedMillis) {
+	}
+
 	/**
 	 * All VMs, their callers and what is counted of them.
 	 */
@@ -120,7 +128,10 @@
 		// the counts of each millisecond, then the sums until its end
 		private final int[] requests = new int[DAY_MILLIS + 1];
 
-		private final int[] retries = new int[DAY_MILLIS + MAX_ARRIVAL_MILLIS + 1];
+		private final int[] retries = new int[DAY_MILLIS + 1];
+
+		// by the millisecond in which they are sent
+		private final Map<Integer, List<Retry>> waiting = new HashMap<>();
 
 		private double requestsPerMilli;
 
@@ -163,6 +174,10 @@
 				this.requests[millis + 1]++;
 				request(called(), millis);
 			}
+			List<Retry> due = this.waiting.remove(millis);
+			if (due != null) {
+				due.forEach((retry) -> send(retry, millis));
+			}
 		}
 
 		private void disturb(int millis) {
@@ -191,8 +206,27 @@
 			vm.budget.recordRequest(SERVICE, nowNanos);
 			for (int i = 0; i < MAX_RETRIES && this.random.nextDouble() < this.rejectedShare
 					&& vm.budget.tryRetry(SERVICE, RetryBudget.Purpose.BEGUN_ANSWER, nowNanos); i++) {
-				this.retries[millis + this.random.nextInt(MAX_ARRIVAL_MILLIS) + 1]++;
+				await(new Retry(vm.budget, millis), millis + 1 + this.random.nextInt(MAX_ARRIVAL_MILLIS));
+			}
+		}
+
+		private void await(Retry retry, int millis) {
+			this.waiting.computeIfAbsent(millis, (key) -> new ArrayList<>()).add(retry);
+		}
+
+		private void send(Retry retry, int millis) {
+			boolean isLost = this.vms.stream().noneMatch((vm) -> vm.budget == retry.budget);
+			if (isLost || millis - retry.grantedMillis > MAX_ARRIVAL_MILLIS) {
+				return;
+			}
+			if (retry.budget
+				.tryRenew(SERVICE, RetryBudget.Purpose.BEGUN_ANSWER, retry.grantedMillis * MILLI_NANOS,
+						millis * MILLI_NANOS)
+				.isEmpty()) {
+				await(retry, millis + POLL_MILLIS);
+				return;
 			}
+			this.retries[millis + 1]++;
 		}
 
 		// requests are counted in the window, the one before it or the one half a window
--- a/vanillatrestle-core/src/test/java/org/vanillatrestle/internal/gateway/RetryBudgetTests.java
+++ b/vanillatrestle-core/src/test/java/org/vanillatrestle/internal/gateway/RetryBudgetTests.java
@@ -1,6 +1,7 @@
 package org.vanillatrestle.internal.gateway;
 
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.List;
 import java.util.Random;
 import java.util.SortedSet;
@@ -92,6 +93,56 @@
 		assertThat(spend(budget, RetryBudget.Purpose.BEGUN_ANSWER, 5 * WINDOW_NANOS)).isEqualTo(1);
 	}
 
+	/**
+	 * Guards against retries that are granted for one window and arrive in a later one
+	 * beside its own: answers break off all the time, and a place comes after 8 s.
+	 */
+	@Test
+	void shouldKeepTheBoundWhenGrantedRetriesHaveWaitedForAPlace() {
+		RetryBudget budget = knownBudget(0, 1);
+		long secondNanos = WINDOW_NANOS / 10;
+		int requestsPerSecond = 100;
+		List<Long> waitingSinceNanos = new ArrayList<>();
+		int arrived = 0;
+		for (int second = 0; second < 38; second++) {
+			long nowNanos = second * secondNanos;
+			recordRequests(budget, requestsPerSecond, nowNanos);
+			if (second == 28) {
+				arrived += renew(budget, waitingSinceNanos, nowNanos);
+			}
+			int granted = (second < 20) ? 0 : spend(budget, RetryBudget.Purpose.BEGUN_ANSWER, nowNanos);
+			if (second < 28) {
+				waitingSinceNanos.addAll(Collections.nCopies(granted, nowNanos));
+			}
+			else {
+				arrived += granted;
+			}
+		}
+		assertThat((double) arrived).isBetween(RATIO * 5 * requestsPerSecond,
+				RATIO * 10 * requestsPerSecond + ALLOWANCE);
+	}
+
+	private static int renew(RetryBudget budget, List<Long> grantedNanos, long nowNanos) {
+		return (int) grantedNanos.stream()
+			.filter((granted) -> budget.tryRenew(SERVICE, RetryBudget.Purpose.BEGUN_ANSWER, granted, nowNanos)
+				.isPresent())
+			.count();
+	}
+
+	@Test
+	void shouldKeepTheGrantOfARetryThatIsSentSoon() {
+		RetryBudget budget = knownBudget(0, 1);
+		int granted = spend(budget, 0);
+		assertThat(budget.tryRenew(SERVICE, RetryBudget.Purpose.OTHER, 0, WINDOW_NANOS / 10)).hasValue(0);
+		assertThat(budget.state(SERVICE, RetryBudget.Purpose.OTHER, WINDOW_NANOS / 10).retries()).isEqualTo(granted);
+	}
+
+	private static void recordRequests(RetryBudget budget, int count, long nowNanos) {
+		for (int i = 0; i < count; i++) {
+			budget.recordRequest(SERVICE, nowNanos);
+		}
+	}
+
 	/**
 	 * Six of 24 answers in a window fail after they have begun. The VM's part of the
 	 * allowance is 2; half of its ratio for one window's requests would add 2.4.
--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/RetryGate.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/RetryGate.java
@@ -2,6 +2,7 @@
 
 import java.util.Locale;
 import java.util.Optional;
+import java.util.OptionalLong;
 
 import org.vanillatrestle.Verdict;
 import org.vanillatrestle.daemon.internal.logging.EventKind;
@@ -35,6 +36,9 @@
 
 	private final RequestDecisionLog decisions;
 
+	// of the last retry that was charged, empty if there was none
+	private OptionalLong grantedNanos = OptionalLong.empty();
+
 	RetryGate(GatewayContext context, DeclaredRoute route, RequestShape shape, AttemptHistory attempts,
 			RequestClock clock, boolean forwarded, RequestDecisionLog decisions) {
 		this.context = context;
@@ -101,7 +105,30 @@
 	}
 
 	private boolean tryCharge(RetryBudget.Purpose purpose) {
-		return this.context.retryBudget().tryRetry(this.shape.service().name(), purpose, System.nanoTime());
+		long now = System.nanoTime();
+		boolean isGranted = this.context.retryBudget().tryRetry(this.shape.service().name(), purpose, now);
+		if (isGranted) {
+			this.grantedNanos = OptionalLong.of(now);
+		}
+		return isGranted;
+	}
+
+	/**
+	 * Requests permission to send the permitted retry now, for which a place may have
+	 * been found long after it was charged.
+	 * @param begun whether the caller has a part of the answer
+	 * @return whether it may be sent, which is always so if nothing was charged
+	 */
+	boolean maySend(boolean begun) {
+		if (this.grantedNanos.isEmpty()) {
+			return true;
+		}
+		OptionalLong renewed = this.context.retryBudget()
+			.tryRenew(this.shape.service().name(), purpose(begun), this.grantedNanos.getAsLong(), System.nanoTime());
+		if (renewed.isPresent()) {
+			this.grantedNanos = renewed;
+		}
+		return renewed.isPresent();
 	}
 
 	private boolean isSuspended() {
--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/RoutedRequest.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/RoutedRequest.java
@@ -69,8 +69,6 @@
 
 	private Future<?> deadline;
 
-	private Future<?> waitTimer;
-
 	private PlacementPlan plan = PlacementPlan.NONE;
 
 	private long retryAfterMillis = -1;
@@ -112,7 +110,6 @@
 	}
 
 	private void place() {
-		this.waitTimer = null;
 		if (this.ended) {
 			return;
 		}
@@ -131,6 +128,10 @@
 		Placement placement = isBegun()
 				? this.plan.decideForBegunAnswer(this.context, this.route, this.shape, remainingMillis())
 				: this.plan.decide(this.context, this.route, this.shape, remainingMillis());
+		if (placement.hasPlace() && !this.retryGate.maySend(isBegun())) {
+			waitForCapacity();
+			return;
+		}
 		switch (placement.action()) {
 			case SERVE_LOCALLY, FORWARD ->
 				this.handover.begin(this.attemptFactory.create(this.plan, placement, admission, now));
@@ -178,7 +179,7 @@
 	}
 
 	private void placeLater() {
-		this.waitTimer = this.context.loop().schedule(this::place, PLACEMENT_RETRY_MILLIS, TimeUnit.MILLISECONDS);
+		this.context.loop().schedule(this::place, PLACEMENT_RETRY_MILLIS, TimeUnit.MILLISECONDS);
 	}
 
 	/**
@@ -331,9 +332,6 @@
 		this.ended = true;
 		this.relay.close();
 		this.deadline.cancel(false);
-		if (this.waitTimer != null) {
-			this.waitTimer.cancel(false);
-		}
 		if (outcome == EventKind.REFUSED) {
 			this.recorder.decisions()
 				.addRefusal(this.plan.local(), this.plan.remote(), this.retryAfterMillis, this.clock.elapsedMillis());
