Wait before a region that had no place gets the rest of an answer again

Callers got a stream cut 0.3 s after its engine had failed if it was forwarded to a region with one VM and no other engine there was free, though their callers wait two seconds or longer and another engine came one second later: the VM in front sent the rest to the same VM three times within 0.3 s, each time was told that it had not reached an engine, and had then used its four attempts (retry-denied, denied-attempts, sends 4, runs 1). The VM behind reports room as it counts the engine that failed, which the rest may not reach again.

An attempt for an answer that has begun no longer counts if another VM says that it reached no engine, or can't be reached. Instead a VM that said so gets the rest again 250 ms later at the earliest. The request still ends: another VM is tried once as before, only a VM that has answered gets the rest again, and that only as long as the caller waits, at most until the deadline. A VM whose engine rejected or failed the rest is asked as before, and such attempts count. New requests are not changed: they are refused, and their callers come back.

--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/AttemptHistory.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/AttemptHistory.java
@@ -26,9 +26,10 @@
 final class AttemptHistory {
 
 	/**
-	 * The maximum number of attempts, including those that targets rejected and all that
-	 * were sent to other VMs. An attempt that certainly did not reach a target of this
-	 * region is not counted, as the request is not sent to that target again.
+	 * The maximum number of attempts, including those that targets rejected. An attempt
+	 * that certainly did not reach a target of this region is not counted, as the request
+	 * is not sent to that target again. Of attempts that were sent to other VMs and did
+	 * not reach a target, only those for an answer that has begun are not counted.
 	 */
 	private static final int MAX_SENDS = 4;
 
@@ -38,6 +39,12 @@
 	 */
 	private static final long REJECTION_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
 
+	/**
+	 * The time after which a VM that had no place for the rest of an answer may get it
+	 * again.
+	 */
+	private static final long REFUSAL_NANOS = TimeUnit.MILLISECONDS.toNanos(250);
+
 	private final int maxRuns;
 
 	private final Set<TargetId> triedTargets = new HashSet<>();
@@ -53,6 +60,9 @@
 	// VMs that have said which target answers
 	private final Set<VmId> answeringVms = new HashSet<>();
 
+	// when VMs had no target for the request
+	private final Map<VmId, Long> refusedNanos = new HashMap<>();
+
 	private final Set<TargetId> reachedTargets = new HashSet<>();
 
 	private final Set<RegionId> exhaustedRegions = new HashSet<>();
@@ -65,7 +75,7 @@
 
 	private int sendCount;
 
-	private int unreachedTargetCount;
+	private int unreachedCount;
 
 	private int possibleRuns;
 
@@ -109,8 +119,8 @@
 		if (failure.reachedTarget()) {
 			target.ifPresent(this.reachedTargets::add);
 		}
-		else if (target.isPresent()) {
-			this.unreachedTargetCount++;
+		else if (begun || target.isPresent()) {
+			this.unreachedCount++;
 		}
 	}
 
@@ -184,7 +194,7 @@
 	}
 
 	private int sendsLeft() {
-		return MAX_SENDS - (this.sendCount - this.unreachedTargetCount);
+		return MAX_SENDS - (this.sendCount - this.unreachedCount);
 	}
 
 	private boolean mayRun(int inProgress) {
@@ -228,10 +238,13 @@
 	void recordRemoteError(RemoteEntries.RemoteChoice choice, RemoteError error) {
 		Set<TargetId> reached = error.reachedTargets().orElse(Set.of());
 		excludeTargets(reached);
-		if (reached.isEmpty() || error.verdict() != Verdict.NOT_RUN) {
+		if (error.verdict() != Verdict.NOT_RUN) {
 			return;
 		}
-		if (error.hasMoreTargets()) {
+		if (reached.isEmpty()) {
+			this.refusedNanos.put(choice.vm(), System.nanoTime());
+		}
+		else if (error.hasMoreTargets()) {
 			this.triedVms.remove(choice.vm());
 		}
 		else {
@@ -302,10 +315,14 @@
 	 * Checks whether a VM may get the request once more. Its answer broke off, but the
 	 * target that failed is known, so that another one of its region continues.
 	 * @param entry the VM
-	 * @return whether the VM has answered and not all targets of its region were tried
+	 * @param nowNanos the monotonic time
+	 * @return whether the VM has answered, has not just refused the rest, and not all
+	 * targets of its region were tried
 	 */
-	boolean mayContinueAt(EntryReport entry) {
-		return this.answeringVms.contains(entry.vm()) && !this.exhaustedRegions.contains(entry.region());
+	boolean mayContinueAt(EntryReport entry, long nowNanos) {
+		Long refused = this.refusedNanos.get(entry.vm());
+		return this.answeringVms.contains(entry.vm()) && !this.exhaustedRegions.contains(entry.region())
+				&& (refused == null || nowNanos - refused >= REFUSAL_NANOS);
 	}
 
 	/**
--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/PlacementPlan.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/PlacementPlan.java
@@ -53,7 +53,8 @@
 			vm = context.remoteVms().choose(route, shape.service().name(), allowed.and(attempts::isUntried), now);
 			if (vm.isEmpty() && inProgress == 0) {
 				vm = context.remoteVms()
-					.choose(route, shape.service().name(), allowed.and(attempts::mayContinueAt), now);
+					.choose(route, shape.service().name(), allowed.and((entry) -> attempts.mayContinueAt(entry, now)),
+							now);
 			}
 		}
 		long readMillis = context.targets().readMillis(shape);
