Don't end a begun answer because targets reject its rest

Three engines that reject at once cut it within milliseconds (by reading).

Cause: rejections count among the four attempts of a request. For a new request that is right, as its caller may come back; the rest of a begun answer has nowhere else to go.

Rejections of the rest by targets of the own region no longer count. Each is charged to the retry budget as before; after three of them one target at a time gets the rest, every 500 ms, until the caller's patience or the deadline ends. That takes up to two retries a second and such answer from the budget. A forwarded rest counts as before.

PlatformBegunAnswerPlaceTests.shouldOfferABegunAnswerAgainToAnEngineThatRejectedItForAMoment plays 1.4 s of rejections too, which failed before (1 of 1, connection reset), and passes (1 of 1). PlatformBegunAnswerPlaceTests, PlatformRetryBoundTests and AttemptHistoryTests pass, one run each. PlatformBegunAnswerTests passed in 1 of 2 runs beside load 36 on 8 cores: shouldContinueAnAnswerThatWasSilentForAWhileBeforeItsEngineFails found no line replacement-withdrawn once, after the whole answer; not traced.

--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/AttemptHistory.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/AttemptHistory.java
@@ -28,7 +28,8 @@
 	/**
 	 * The maximum number of attempts, including those that targets rejected and all that
 	 * were sent to other VMs. An attempt that certainly did not reach a target of this
-	 * region is not counted, as the request is not sent to that target again.
+	 * region is not counted, as the request is not sent to that target again. Nor is one
+	 * that a target rejected if the answer has begun, as its caller waits for the rest.
 	 */
 	private static final int MAX_SENDS = 4;
 
@@ -38,6 +39,12 @@
 	 */
 	private static final long REJECTION_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
 
+	/**
+	 * The rejections of the rest of an answer after which one target at a time gets it,
+	 * so that one answer does not use up the retries of others.
+	 */
+	private static final int MAX_REJECTIONS_AT_ONCE = 3;
+
 	private final int maxRuns;
 
 	private final Set<TargetId> triedTargets = new HashSet<>();
@@ -70,6 +77,10 @@
 
 	private int unreachedTargetCount;
 
+	private int restRejectionCount;
+
+	private long lastRestRejectionNanos;
+
 	private int possibleRuns;
 
 	/**
@@ -111,8 +122,7 @@
 		}
 		boolean mayTakeRestLater = begun && failure.cause() == AttemptFailure.Cause.REJECTED;
 		if (mayTakeRestLater) {
-			target.ifPresent((id) -> this.rejectedNanos.put(id, System.nanoTime()));
-			target.filter(this.sentAgainTargets::contains).ifPresent(this.withdrawnTargets::add);
+			target.ifPresent((id) -> recordRestRejection(id, System.nanoTime()));
 		}
 		recordRun(failure.verdict(), target);
 		this.hasArrived |= failure.reachedTarget();
@@ -124,6 +134,15 @@
 		}
 	}
 
+	private void recordRestRejection(TargetId target, long nowNanos) {
+		this.rejectedNanos.put(target, nowNanos);
+		this.restRejectionCount++;
+		this.lastRestRejectionNanos = nowNanos;
+		if (this.sentAgainTargets.contains(target)) {
+			this.withdrawnTargets.add(target);
+		}
+	}
+
 	/**
 	 * Notes that an attempt ended that counts as a run if its target may have run the
 	 * request, then or in an earlier attempt.
@@ -201,7 +220,7 @@
 	}
 
 	private int sendsLeft() {
-		return MAX_SENDS - (this.sendCount - this.unreachedTargetCount);
+		return MAX_SENDS - (this.sendCount - this.unreachedTargetCount - this.restRejectionCount);
 	}
 
 	private boolean mayRun(int inProgress) {
@@ -299,10 +318,14 @@
 				mayRunAgain.remove(target);
 			}
 		});
-		if (!mayRunElsewhere(inProgress)) {
+		boolean isSpaced = this.restRejectionCount >= MAX_REJECTIONS_AT_ONCE
+				&& nowNanos - this.lastRestRejectionNanos < rejectionNanos;
+		if (isSpaced || !mayRunElsewhere(inProgress)) {
 			known.forEach((target) -> excluded.add(target.id()));
 		}
-		excluded.removeAll(mayRunAgain);
+		if (!isSpaced) {
+			excluded.removeAll(mayRunAgain);
+		}
 		return excluded;
 	}
 
