--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/AttemptHistory.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/AttemptHistory.java
@@ -28,17 +28,12 @@
 	/**
 	 * The maximum number of attempts, including those that targets rejected. An attempt
 	 * that certainly did not reach a target of this region is not counted, as the request
-	 * is not sent to that target again. Of attempts that were sent to other VMs and did
-	 * not reach a target, only those for an answer that has begun are not counted.
+	 * is not sent to that target again. For an answer that has begun, whose caller waits
+	 * for the rest, neither are attempts that reached no target by way of another VM and
+	 * those that targets of this region rejected.
 	 */
 	private static final int MAX_SENDS = 4;
 
-	/**
-	 * The time after which a target that rejected the rest of an answer may have a free
-	 * place.
-	 */
-	private static final long REJECTION_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
-
 	/**
 	 * The time after which a VM that had no place for the rest of an answer may get it
 	 * again.
@@ -55,8 +50,7 @@
 	// targets in withdrawnTargets until the request was sent to them once more
 	private final Set<TargetId> sentAgainTargets = new HashSet<>();
 
-	// when targets rejected the rest of an answer that has begun
-	private final Map<TargetId, Long> rejectedNanos = new HashMap<>();
+	private final RestRejections restRejections = new RestRejections();
 
 	private final Set<VmId> triedVms = new HashSet<>();
 
@@ -96,7 +90,7 @@
 			this.possibleRuns--;
 			this.sentAgainTargets.add(target);
 		}
-		this.rejectedNanos.remove(target);
+		this.restRejections.recordSend(target);
 		this.triedTargets.add(target);
 		this.sendCount++;
 	}
@@ -121,8 +115,7 @@
 		}
 		boolean mayTakeRestLater = begun && failure.cause() == AttemptFailure.Cause.REJECTED;
 		if (mayTakeRestLater) {
-			target.ifPresent((id) -> this.rejectedNanos.put(id, System.nanoTime()));
-			target.filter(this.sentAgainTargets::contains).ifPresent(this.withdrawnTargets::add);
+			target.ifPresent((id) -> recordRestRejection(id, System.nanoTime()));
 		}
 		recordRun(failure.verdict(), target);
 		this.hasArrived |= failure.reachedTarget();
@@ -134,6 +127,13 @@
 		}
 	}
 
+	private void recordRestRejection(TargetId target, long nowNanos) {
+		this.restRejections.record(target, nowNanos);
+		if (this.sentAgainTargets.contains(target)) {
+			this.withdrawnTargets.add(target);
+		}
+	}
+
 	/**
 	 * Notes that an attempt ended that counts as a run if its target may have run the
 	 * request, then or in an earlier attempt.
@@ -211,7 +211,7 @@
 	}
 
 	private int sendsLeft() {
-		return MAX_SENDS - (this.sendCount - this.unreachedCount);
+		return MAX_SENDS - (this.sendCount - this.unreachedCount - this.restRejections.count());
 	}
 
 	private boolean mayRun(int inProgress) {
@@ -287,7 +287,7 @@
 	 * target may run the request
 	 */
 	Set<TargetId> excludedTargets(Collection<GatewayTarget> known, int inProgress, long nowNanos) {
-		return excludedTargets(known, inProgress, nowNanos, REJECTION_NANOS);
+		return excludedTargets(known, inProgress, nowNanos, RestRejections.REJECTION_NANOS);
 	}
 
 	/**
@@ -304,18 +304,15 @@
 			long rejectionNanos) {
 		Set<TargetId> excluded = new HashSet<>(this.triedTargets);
 		Set<TargetId> mayRunAgain = new HashSet<>(this.withdrawnTargets);
-		this.rejectedNanos.forEach((target, rejected) -> {
-			if (nowNanos - rejected >= rejectionNanos) {
-				excluded.remove(target);
-			}
-			else {
-				mayRunAgain.remove(target);
-			}
-		});
-		if (!mayRunElsewhere(inProgress)) {
+		excluded.removeAll(this.restRejections.targets(false, rejectionNanos, nowNanos));
+		mayRunAgain.removeAll(this.restRejections.targets(true, rejectionNanos, nowNanos));
+		boolean isPaused = this.restRejections.isPaused(rejectionNanos, nowNanos);
+		if (isPaused || !mayRunElsewhere(inProgress)) {
 			known.forEach((target) -> excluded.add(target.id()));
 		}
-		excluded.removeAll(mayRunAgain);
+		if (!isPaused) {
+			excluded.removeAll(mayRunAgain);
+		}
 		return excluded;
 	}
 
