Let a new request go elsewhere when connections are not established

Since a new request could spend its whole time on targets that don't take connections, 0.6 s each, instead of being refused so that its caller goes elsewhere: attempts that reached no target were not counted, whatever they took.

A refused connection fails at once and stays free. A connection that is not established counts for a new request, as before; the rest of an answer that has begun still goes on.

--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/AttemptHistory.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/AttemptHistory.java
@@ -26,11 +26,11 @@
 final class AttemptHistory {
 
 	/**
-	 * The maximum number of attempts, including those that targets rejected. An attempt
-	 * that certainly did not reach a target of this region is not counted, as the request
+	 * The maximum number of attempts, including those that targets rejected. One for
+	 * which a target of this region refused the connection is not counted, as the request
 	 * is not sent to that target again. For an answer that has begun, whose caller waits
-	 * for the rest, neither are attempts that reached no target by way of another VM and
-	 * those that targets of this region rejected.
+	 * for the rest, neither are those that certainly did not reach a target and those
+	 * that targets of this region rejected.
 	 */
 	private static final int MAX_SENDS = 4;
 
@@ -40,6 +40,12 @@
 	 */
 	private static final long REFUSAL_NANOS = TimeUnit.MILLISECONDS.toNanos(250);
 
+	/**
+	 * A refused connection fails within this time. One that is not established takes
+	 * longer, and a new request must not spend all of its time on such ones.
+	 */
+	private static final long REFUSED_CONNECTION_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
+
 	private final int maxRuns;
 
 	private final Set<TargetId> triedTargets = new HashSet<>();
@@ -70,6 +76,8 @@
 
 	private Verdict verdict = Verdict.NOT_RUN;
 
+	private long sentNanos;
+
 	private int sendCount;
 
 	private int unreachedCount;
@@ -92,6 +100,7 @@
 		}
 		this.restRejections.recordSend(target);
 		this.triedTargets.add(target);
+		this.sentNanos = System.nanoTime();
 		this.sendCount++;
 	}
 
@@ -122,7 +131,7 @@
 		if (failure.reachedTarget()) {
 			target.ifPresent(this.reachedTargets::add);
 		}
-		else if (begun || target.isPresent()) {
+		else if (begun || (target.isPresent() && System.nanoTime() - this.sentNanos < REFUSED_CONNECTION_NANOS)) {
 			this.unreachedCount++;
 		}
 	}
