Review: a late leave removes the engine that started again under its id

Cause: DELETE /instances/ID marks whichever incarnation is the latest as gone, and gone is final for it, whatever it reports afterwards.

--- a/review/stand-ins/Engine.java
+++ b/review/stand-ins/Engine.java
@@ -11,7 +11,9 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
+import java.util.Set;
 import java.util.TreeMap;
+import java.util.concurrent.ConcurrentHashMap;
 
 /** An engine or plain server as the pages describe it: it beats, and does with a request what it is told. */
 final class Engine {
@@ -74,7 +76,7 @@
 
 	final String zone;
 
-	final long born = System.currentTimeMillis();
+	volatile long born = System.currentTimeMillis();
 
 	final List<Request> arrivals = Collections.synchronizedList(new ArrayList<>());
 
@@ -95,6 +97,17 @@
 	/** How many times as long as usual the work takes. */
 	volatile double slowness = 1;
 
+	/** How the engine calls a control process: node, method, path, body; the status, 0 without an answer. */
+	interface ControlCalls {
+
+		int call(int node, String method, String path, String body);
+
+	}
+
+	volatile ControlCalls control;
+
+	private final Set<Socket> sockets = ConcurrentHashMap.newKeySet();
+
 	private int sequence;
 
 	Engine(Rig rig, int number, String service, String zone) throws IOException {
@@ -102,6 +115,7 @@
 		this.id = "i-" + service + "-" + zone + "-" + number;
 		this.service = service;
 		this.zone = zone;
+		this.control = rig::controlAt;
 		this.server = new ServerSocket(0, 200, InetAddress.getByName(rig.engineHost(number)));
 		thread("accept", this::accept);
 		thread("beat", () -> {
@@ -130,13 +144,23 @@
 				+ "\",\"version\":\"v1\",\"slots\":64,\"state\":\"" + this.state
 				+ "\",\"cold-left-ms\":0,\"sequence\":" + this.sequence + ",\"born\":" + this.born + "}";
 		for (int i = 0; i < 3; i++) {
-			if (this.rig.controlAt(i, "PUT", "/instances/" + this.id, body) / 100 == 2) {
+			if (this.control.call(i, "PUT", "/instances/" + this.id, body) / 100 == 2) {
 				return true;
 			}
 		}
 		return false;
 	}
 
+	/** Crashes and starts again under the id and at the address that it had. */
+	synchronized void restart() throws IOException {
+		for (Socket socket : this.sockets) {
+			socket.close();
+		}
+		this.born = System.currentTimeMillis();
+		this.sequence = 0;
+		this.state = "ready";
+	}
+
 	private void accept() {
 		while (true) {
 			try {
@@ -150,6 +174,7 @@
 	}
 
 	private void serve(Socket socket) {
+		this.sockets.add(socket);
 		try (socket) {
 			InputStream input = new BufferedInputStream(socket.getInputStream());
 			boolean kept = true;
@@ -173,6 +198,9 @@
 		catch (Exception ex) {
 			// the gateway closed the connection
 		}
+		finally {
+			this.sockets.remove(socket);
+		}
 	}
 
 }
