--- a/review/2/StaleOrderCase.java
+++ b/review/2/StaleOrderCase.java
@@ -9,7 +9,7 @@
  */
 final class StaleOrderCase {
 
-	private static final long FREEZE_MILLIS = 1_250;
+	private static final long FREEZE_MILLIS = 1_200;
 
 	private static final long EVACUATE_MILLIS = 5_000;
 
