Answer 502, not a target's 503, for a request that may have run

What callers saw: a payment was answered 503 although it had run.

Cause: the verdict of an attempt decided about repeats only; the status delivered was the target's, whether or not the target stated that the request had not run.

Why it works: the platform says which statuses are promises, and a response with such a status is delivered by no path unless the target states that the request has not run. The attempt counts as failed, and the request ends with 502 unless another attempt serves it. Headers that only VMs state are removed from the responses of targets.

--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/RoutedAttempt.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/RoutedAttempt.java
@@ -12,7 +12,7 @@
 import org.vanillatrestle.daemon.internal.pipeline.AttemptListener;
 import org.vanillatrestle.daemon.internal.pipeline.HeaderNames;
 import org.vanillatrestle.daemon.internal.target.TargetRequest;
-import org.vanillatrestle.daemon.protocol.AnswerMetadata;
+import org.vanillatrestle.daemon.protocol.GatewayProtocol;
 import org.vanillatrestle.internal.gateway.InFlightRequest;
 import org.vanillatrestle.internal.gateway.RemoteEntries;
 import org.vanillatrestle.internal.gateway.TargetChoice;
@@ -43,20 +43,15 @@
 
 	private final ProgressMonitor progress;
 
-	private boolean hasKnownLength;
-
 	private AttemptHandle handle;
 
-	private AnswerMetadata responseFacts;
-
-	private RemoteError remoteError;
-
-	private int status;
+	// null until the head of the response has arrived
+	private AttemptResponse response;
 
 	// the head of a replacement that has not taken over yet
 	private AnswerHead unrelayedHead;
 
-	// whether this was a replacement when the head of a response without success arrived
+	// whether the response can't be delivered, whatever its body is
 	private boolean bodyDiscarded;
 
 	private boolean done;
@@ -170,7 +165,8 @@
 	 * @return the region, empty if the target is known
 	 */
 	Optional<RegionId> unansweredRegion() {
-		return this.remoteRequest.filter((inFlight) -> this.status == 0).map((inFlight) -> inFlight.choice().region());
+		return this.remoteRequest.filter((inFlight) -> this.response == null)
+			.map((inFlight) -> inFlight.choice().region());
 	}
 
 	String destination() {
@@ -202,40 +198,46 @@
 	@Override
 	public void onHead(AnswerHead head) {
 		this.remoteRequest.ifPresent(RemoteEntries.RemoteRequest::answered);
-		this.status = head.status();
-		this.responseFacts = this.request.context().protocol().readAnswer(head);
-		this.hasKnownLength = head.hasLength();
+		GatewayProtocol protocol = this.request.context().protocol();
 		if (this.remoteRequest.isPresent()) {
-			this.remoteError = RemoteError.read(head.headers()).orElse(null);
+			this.response = AttemptResponse.ofVm(head, protocol);
 			this.request.attempts().recordRemoteAnswer(this.remoteRequest.get().choice().vm(), head.headers());
+			head.headers().remove(HeaderNames.ANSWERING_TARGET);
+		}
+		else {
+			this.response = AttemptResponse.ofTarget(head, protocol);
 		}
-		head.headers().remove(HeaderNames.ANSWERING_TARGET);
 		if (this.request.isForwarded()) {
 			target().ifPresent((id) -> head.headers().set(HeaderNames.ANSWERING_TARGET, id.value()));
 		}
-		this.targetRequest.ifPresent((inFlight) -> TargetStatements.apply(this.responseFacts, inFlight, this.request));
-		if (this.status / 100 == 2 && !this.responseFacts.signed()) {
+		this.targetRequest
+			.ifPresent((inFlight) -> TargetStatements.apply(this.response.metadata(), inFlight, this.request));
+		if (isSuccess() && !this.response.metadata().signed()) {
 			this.handle.cancel();
 			abandon(AttemptFailure.abandoned("the success response has no signature"));
 			return;
 		}
-		if (this.status / 100 == 2) {
+		if (isSuccess()) {
 			this.targetRequest.ifPresent((inFlight) -> inFlight.answerStarted(System.nanoTime()));
 		}
 		if (this.request.handover().isReplacement(this)) {
 			this.unrelayedHead = head;
-			this.bodyDiscarded = this.status / 100 != 2 || this.responseFacts.encoded() || this.responseFacts.notRun()
-					|| this.remoteError != null;
+			this.bodyDiscarded = !isSuccess() || this.response.metadata().encoded() || !this.response.isDeliverable();
 			return;
 		}
-		if (!this.request.relay().isStarted() || this.status / 100 == 2) {
+		this.bodyDiscarded = this.response.metadata().isUnprovenPromise();
+		if (!this.request.relay().isStarted() || isSuccess()) {
 			this.request.relay().head(head);
 		}
 	}
 
+	private boolean isSuccess() {
+		return this.response.isSuccess();
+	}
+
 	@Override
 	public void onBody(ByteBuf data) {
-		if (this.bodyDiscarded || (this.request.relay().isStarted() && this.status / 100 != 2)) {
+		if (this.bodyDiscarded || (this.request.relay().isStarted() && !isSuccess())) {
 			data.release();
 			return;
 		}
@@ -262,7 +264,7 @@
 		}
 		// Bytes count as progress only if they complete an event of a stream or belong to
 		// a response of known length. Other bytes could continue to arrive forever.
-		if (eventSent || (!this.request.route().isStreaming() && this.hasKnownLength)) {
+		if (eventSent || (!this.request.route().isStreaming() && this.response.hasLength())) {
 			recordProgress(System.nanoTime());
 		}
 		if (eventSent) {
@@ -277,11 +279,11 @@
 	private void recordProgress(long now) {
 		this.targetRequest.ifPresent((inFlight) -> inFlight.recordProgress(now));
 		boolean hasProgressed = this.progress.hasProgressed();
-		if (hasProgressed && this.status / 100 == 2) {
+		if (hasProgressed && isSuccess()) {
 			long pauseMillis = this.progress.silentMillis(now);
 			this.targetRequest.ifPresent((inFlight) -> inFlight.recordStreamPause(pauseMillis, now));
 		}
-		if (!hasProgressed && this.status / 100 == 2) {
+		if (!hasProgressed && isSuccess()) {
 			this.request.attempts().recordStart();
 			this.promptStart.ifPresent((start) -> start.answerBegan(now));
 		}
@@ -299,33 +301,32 @@
 		}
 		end();
 		long now = System.nanoTime();
-		if (this.responseFacts.notRun() || this.status / 100 != 2) {
+		if (this.response.metadata().notRun() || !isSuccess()) {
 			this.promptStart.ifPresent(PromptStart::end);
 		}
-		if (this.remoteError != null) {
-			failRemotely(this.remoteError);
+		if (this.response.remoteError().isPresent()) {
+			failRemotely(this.response.remoteError().get());
 			return;
 		}
-		if (this.responseFacts.notRun()) {
+		if (this.response.isRejection()) {
 			this.targetRequest.ifPresent(InFlightRequest::end);
 			this.request.onAttemptFailed(this,
-					AttemptFailure.rejected("the target did not run the request, status " + this.status));
+					AttemptFailure.rejected("the target did not run the request, status " + this.response.status()));
 			return;
 		}
-		boolean success = this.status / 100 == 2;
-		if (success && this.responseFacts.encoded()) {
+		if (isSuccess() && this.response.metadata().encoded()) {
 			this.promptStart.ifPresent(PromptStart::end);
 			this.failures.targetFailed(false, now);
 			this.request.onAttemptFailed(this, AttemptFailure.failed("the response body has an unexpected encoding"));
 			return;
 		}
-		if (!success && (this.bodyDiscarded || this.request.relay().isStarted()
-				|| (this.status >= 500 && this.request.mayOtherAttemptAnswer()))) {
+		if (!isSuccess() && (this.bodyDiscarded || this.request.relay().isStarted()
+				|| (this.response.status() >= 500 && this.request.mayOtherAttemptAnswer()))) {
 			this.targetRequest.ifPresent((inFlight) -> inFlight.answeredWithError(now));
 			if (!this.bodyDiscarded && !this.request.relay().isStarted()) {
 				this.request.relay().storeResponse();
 			}
-			this.request.onAttemptFailed(this, AttemptFailure.failed("status " + this.status));
+			this.request.onAttemptFailed(this, AttemptFailure.failed(this.response.describe()));
 			return;
 		}
 		if (this.request.handover().isReplacement(this) || !this.request.relay().end()) {
@@ -334,11 +335,11 @@
 					() -> this.request.onAttemptFailed(this, failure));
 			return;
 		}
-		if (success) {
+		if (isSuccess()) {
 			this.promptStart.ifPresent((start) -> start.answerBegan(now));
 		}
 		this.targetRequest.ifPresent((inFlight) -> {
-			if (this.status >= 500) {
+			if (this.response.status() >= 500) {
 				inFlight.answeredWithError(now);
 			}
 			else {
@@ -365,7 +366,7 @@
 
 	private void failRemotely(RemoteError error) {
 		this.request.attempts().recordRemoteError(this.remoteRequest.orElseThrow().choice(), error);
-		this.request.onAttemptFailed(this, AttemptFailure.remote(error, this.status));
+		this.request.onAttemptFailed(this, AttemptFailure.remote(error, this.response.status()));
 	}
 
 	// the target closed the connection before the answer was complete
--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/pipeline/AttemptRun.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/pipeline/AttemptRun.java
@@ -143,6 +143,10 @@
 			return;
 		}
 		this.run.firstByteReceived(this);
+		// only this system states a verdict; that of a target could tell a caller to
+		// repeat
+		// a call that ran
+		head.headers().remove(HeaderNames.VERDICT);
 		if (isRefusalByTarget(head)) {
 			cancelAndFail(AttemptOutcome.REFUSED, "status " + head.status());
 			return;
--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/protocol/AnswerMetadata.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/protocol/AnswerMetadata.java
@@ -8,6 +8,8 @@
  * Immutable and thread safe.
  *
  * @param notRun whether the target guarantees that it has not run the request
+ * @param promisesNotRun whether callers take the status for a promise that the request
+ * has not run and never will
  * @param misdirected whether the answering target is not the one that the request
  * expected, which is no longer at this address
  * @param signed whether the answer carries the target's signature
@@ -19,6 +21,17 @@
  * together, {@link Double#POSITIVE_INFINITY} if it states that there is no limit, empty
  * if the answer says nothing about it
  */
-public record AnswerMetadata(boolean notRun, boolean misdirected, boolean signed, boolean encoded, boolean leaving,
-		long pauseMillis, OptionalDouble requestsPerSecond) {
+public record AnswerMetadata(boolean notRun, boolean promisesNotRun, boolean misdirected, boolean signed,
+		boolean encoded, boolean leaving, long pauseMillis, OptionalDouble requestsPerSecond) {
+
+	/**
+	 * Checks whether the status promises more than the target states. Such an answer must
+	 * not be delivered: its request may have run, but a caller would repeat it.
+	 * @return whether the status promises that the request has not run although the
+	 * target does not guarantee it
+	 */
+	public boolean isUnprovenPromise() {
+		return this.promisesNotRun && !this.notRun;
+	}
+
 }
