Forget slow answer times of targets that get no requests

Cause: one moving average of answer times for all targets of a service, changed by complete answers only. Once it is above a route's objective nothing is sent, so that no answer can lower it.

Before the change failed: GatewayTargetsTests shouldTryATargetAgainThatWasTooSlowWithOneRequestAtATime, shouldNotTakeAnotherTargetOfTheServiceForSlow and shouldTryAnEjectedTargetAgainWithoutAShareForColdTargets; PlatformSlowTargetTests (nothing served for 6 s).

Why it works: each target has an estimate of its own. While nothing is in flight at it the estimate approaches that of an unknown target within seconds, and it is held while a request finds out, so that a target that still is slow gets one request at a time. The same class: slow reading speeds expire after 15 s, and an ejected engine counts as cold only while it may have restarted. Gauges show the expected wait and the age of the answer that it rests on.

--- a/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/gateway/GatewayTarget.java
+++ b/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/gateway/GatewayTarget.java
@@ -204,6 +204,16 @@
 		return (nowNanos - this.lastProgressNanos) / NANOS_PER_MILLI;
 	}
 
+	/**
+	 * Returns the time since this VM last had a complete answer of the target, if its
+	 * service is a plain one.
+	 * @param nowNanos the monotonic time
+	 * @return the time in milliseconds, -1 if there was none
+	 */
+	public long answerAgeMillis(long nowNanos) {
+		return this.speed.answerTime().ageMillis(nowNanos);
+	}
+
 	/**
 	 * Returns the time since this VM learned of the target's present condition.
 	 * @param nowNanos the monotonic time
--- a/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/gateway/GatewayTargets.java
+++ b/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/gateway/GatewayTargets.java
@@ -224,7 +224,7 @@
 		SharedParts shared = SharedParts.of(shape, offered, speed(shape.service().name()), nowNanos);
 		for (GatewayTarget target : offered.stream().filter(usable).toList()) {
 			long unread = shared.unreadTokens(target);
-			double wait = waitMillis(target, shape.service(), unread);
+			double wait = waitMillis(target, shape.service(), unread, nowNanos);
 			if (wait >= 0 && hasMemory(target, shape, unread)) {
 				wait += shared.copyMillis(target);
 				double readingShare = readingShare(target, nowNanos);
@@ -245,7 +245,7 @@
 			return wait;
 		}
 		ServiceSpeed speed = speed(shape.service().name());
-		double readMillis = speed.readMillis(unread, target.speed());
+		double readMillis = speed.readMillis(unread, target.speed(), nowNanos);
 		double penalty = (harmfulReadingShare > shape.maxReadingShare()) ? BUSY_TARGET_PENALTY_MILLIS : 0;
 		return wait + READING_WEIGHT * readMillis + penalty + streamDelayMillis(shape, speed, unread, target, nowNanos);
 	}
@@ -259,8 +259,9 @@
 		}
 		InFlightLoad load = target.totalLoad();
 		double harmlessMillis = HARMLESS_READING_FRACTION * shape.pauseObjectiveMillis();
-		double before = Math.max(0, speed.readMillis(load.unreadTokens(), target.speed()) - harmlessMillis);
-		double after = Math.max(0, speed.readMillis(load.unreadTokens() + unread, target.speed()) - harmlessMillis);
+		double before = Math.max(0, speed.readMillis(load.unreadTokens(), target.speed(), nowNanos) - harmlessMillis);
+		double after = Math.max(0,
+				speed.readMillis(load.unreadTokens() + unread, target.speed(), nowNanos) - harmlessMillis);
 		return load.requests() * (after - before);
 	}
 
@@ -288,23 +289,23 @@
 
 	private double readingShare(GatewayTarget target, long nowNanos) {
 		return target.readTokensPerSecond(nowNanos, nowNanos - this.otherLoadsNanos)
-				/ speed(target.report().service()).tokensPerSecond(target.speed());
+				/ speed(target.report().service()).tokensPerSecond(target.speed(), nowNanos);
 	}
 
-	private double waitMillis(GatewayTarget target, DeclaredService service, long unreadTokens) {
+	private double waitMillis(GatewayTarget target, DeclaredService service, long unreadTokens, long nowNanos) {
 		ServiceSpeed speed = speed(service.name());
 		InFlightLoad load = target.totalLoad();
 		int slots = Math.max(1, target.report().slots());
 		if (service.engine().isPresent()) {
 			return (load.requests() >= slots) ? -1
-					: speed.readMillis(load.unreadTokens() + unreadTokens, target.speed())
+					: speed.readMillis(load.unreadTokens() + unreadTokens, target.speed(), nowNanos)
 							+ MILLIS_PER_REQUEST_IN_FLIGHT * load.requests();
 		}
 		if (load.requests() >= MAX_PLAIN_REQUESTS_PER_SLOT * slots) {
 			return -1;
 		}
 		double waiting = Math.max(0, load.requests() + 1 - slots);
-		return speed.plainMillis() * (1 + waiting / slots) + 0.1 * load.requests();
+		return speed.plainMillis(target, nowNanos) * (1 + waiting / slots) + 0.1 * load.requests();
 	}
 
 	private static boolean hasMemory(GatewayTarget target, RequestShape shape, long unreadTokens) {
@@ -340,14 +341,15 @@
 	 * Estimates how long a target outside this region takes to read a request's prompt,
 	 * assuming that it has cached the parts shared with other requests.
 	 * @param shape the request
+	 * @param nowNanos the monotonic time
 	 * @return the time in milliseconds, 0 for a plain service
 	 */
-	public long readMillis(RequestShape shape) {
+	public long readMillis(RequestShape shape, long nowNanos) {
 		if (shape.service().engine().isEmpty()) {
 			return 0;
 		}
 		long unread = Math.max(0, shape.promptTokens() - shape.sharedTokens());
-		return Math.round(speed(shape.service().name()).readMillis(unread));
+		return Math.round(speed(shape.service().name()).readMillis(unread, nowNanos));
 	}
 
 	/**
--- a/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/gateway/InFlightRequest.java
+++ b/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/gateway/InFlightRequest.java
@@ -107,7 +107,7 @@
 		double millis = (nowNanos - this.sentNanos) / 1e6;
 		if (this.shape.service().engine().isPresent()) {
 			this.serviceSpeed.recordPromptRead(this.load.unreadTokens(), this.queuedTokensWhenSent, millis,
-					this.target.speed());
+					this.target.speed(), nowNanos);
 		}
 		InFlightLoad readLoad = new InFlightLoad(this.target.id(), 0, this.load.unreadTokens(), 0);
 		this.target.remove(readLoad);
@@ -145,7 +145,7 @@
 		}
 		this.target.recordAnswer();
 		if (this.shape.service().engine().isEmpty()) {
-			this.serviceSpeed.recordPlainAnswer((nowNanos - this.sentNanos) / 1e6);
+			recordAnswerTime(nowNanos);
 		}
 		else {
 			// the first event follows no pause
@@ -155,6 +155,13 @@
 		end();
 	}
 
+	// a former incarnation says nothing about the speed of the present one
+	private void recordAnswerTime(long nowNanos) {
+		if (this.target.report().startedMillis() == this.targetStartedMillis) {
+			this.serviceSpeed.recordPlainAnswer((nowNanos - this.sentNanos) / 1e6, this.target.speed(), nowNanos);
+		}
+	}
+
 	/**
 	 * Notes that the answer is complete and reports an error, which the request itself
 	 * may have caused, and ends the request.
--- a/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/gateway/ServiceSpeed.java
+++ b/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/gateway/ServiceSpeed.java
@@ -1,10 +1,13 @@
 package org.vanillatrestle.internal.gateway;
 
+import java.util.concurrent.TimeUnit;
+
 /**
  * The average speed at which the targets of a service answer, measured from their
  * answers.
  * <p>
- * Not thread safe.
+ * A reading speed below the initial one expires unless further prompts confirm it, so
+ * that it never keeps prompts away for good. Not thread safe.
  */
 final class ServiceSpeed {
 
@@ -14,6 +17,12 @@
 
 	private static final double INITIAL_TOKENS_PER_MILLI = 40;
 
+	/**
+	 * The time after which a measured speed that is below the initial one expires, as
+	 * long as the memory of a target's stream pauses.
+	 */
+	static final long SLOW_READING_NANOS = TimeUnit.SECONDS.toNanos(15);
+
 	/**
 	 * The part of the time until an answer begins that does not depend on the length of
 	 * the prompt.
@@ -36,8 +45,31 @@
 
 	private double tokensPerMilli = INITIAL_TOKENS_PER_MILLI;
 
-	void recordPlainAnswer(double millis) {
+	private long measuredNanos;
+
+	/**
+	 * Records an answer of a plain service.
+	 * @param millis the time in milliseconds from the request to its answer
+	 * @param targetSpeed the speed of the target, which is updated too
+	 * @param nowNanos the monotonic time
+	 */
+	void recordPlainAnswer(double millis, TargetSpeed targetSpeed, long nowNanos) {
 		this.plainMillis += NEW_SAMPLE_WEIGHT * (millis - this.plainMillis);
+		targetSpeed.answerTime().recordAnswer(millis, nowNanos);
+	}
+
+	/**
+	 * Returns the expected time from a request to its answer at a target of a plain
+	 * service.
+	 * @param target the target
+	 * @param nowNanos the monotonic time
+	 * @return the time in milliseconds. A target of unknown speed counts as no slower
+	 * than the average, so that it is tried beside faster ones, and no slower than a
+	 * service that has not answered yet
+	 */
+	double plainMillis(GatewayTarget target, long nowNanos) {
+		boolean idle = target.own().requests() == 0;
+		return target.speed().answerTime().millis(Math.min(INITIAL_PLAIN_MILLIS, this.plainMillis), idle, nowNanos);
 	}
 
 	/**
@@ -48,35 +80,39 @@
 	 * @param queuedTokens the tokens of other prompts that were waiting when it was sent
 	 * @param millis the time in milliseconds until the answer began
 	 * @param targetSpeed the speed of the target, which is updated too
+	 * @param nowNanos the monotonic time
 	 */
-	void recordPromptRead(long tokens, long queuedTokens, double millis, TargetSpeed targetSpeed) {
+	void recordPromptRead(long tokens, long queuedTokens, double millis, TargetSpeed targetSpeed, long nowNanos) {
 		if (tokens < MIN_SAMPLE_TOKENS || queuedTokens > MAX_QUEUED_FRACTION * tokens) {
 			return;
 		}
 		double rate = tokens / Math.max(1, millis - BASE_MILLIS);
 		double clampedRate = Math.max(SLOWEST_TOKENS_PER_MILLI, Math.min(FASTEST_TOKENS_PER_MILLI, rate));
-		targetSpeed.recordPromptRead(clampedRate / this.tokensPerMilli);
-		this.tokensPerMilli += NEW_SAMPLE_WEIGHT * (clampedRate - this.tokensPerMilli);
+		double knownRate = tokensPerMilli(nowNanos);
+		targetSpeed.recordPromptRead(clampedRate / knownRate, nowNanos);
+		this.tokensPerMilli = knownRate + NEW_SAMPLE_WEIGHT * (clampedRate - knownRate);
+		this.measuredNanos = nowNanos;
 	}
 
-	double tokensPerSecond(TargetSpeed targetSpeed) {
-		return MILLIS_PER_SECOND * this.tokensPerMilli * targetSpeed.readingFactor();
+	private double tokensPerMilli(long nowNanos) {
+		boolean expired = nowNanos - this.measuredNanos > SLOW_READING_NANOS;
+		return expired ? Math.max(INITIAL_TOKENS_PER_MILLI, this.tokensPerMilli) : this.tokensPerMilli;
 	}
 
-	AnswerPace answerPace() {
-		return this.answerPace;
+	double tokensPerSecond(TargetSpeed targetSpeed, long nowNanos) {
+		return MILLIS_PER_SECOND * tokensPerMilli(nowNanos) * targetSpeed.readingFactor(nowNanos);
 	}
 
-	double plainMillis() {
-		return this.plainMillis;
+	AnswerPace answerPace() {
+		return this.answerPace;
 	}
 
-	double readMillis(long tokens) {
-		return BASE_MILLIS + tokens / this.tokensPerMilli;
+	double readMillis(long tokens, long nowNanos) {
+		return BASE_MILLIS + tokens / tokensPerMilli(nowNanos);
 	}
 
-	double readMillis(long tokens, TargetSpeed targetSpeed) {
-		return BASE_MILLIS + tokens / (this.tokensPerMilli * targetSpeed.readingFactor());
+	double readMillis(long tokens, TargetSpeed targetSpeed, long nowNanos) {
+		return BASE_MILLIS + tokens / (tokensPerMilli(nowNanos) * targetSpeed.readingFactor(nowNanos));
 	}
 
 }
--- a/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/gateway/SharedParts.java
+++ b/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/gateway/SharedParts.java
@@ -67,7 +67,7 @@
 			.filter((target) -> !target.isNew(nowNanos));
 		int tokens = shape.sharedTokens();
 		boolean copyIsFaster = shape.service().engine().get().estimateCopyMillis(tokens) < MAX_COPY_TIME_FRACTION
-				* speed.readMillis(tokens);
+				* speed.readMillis(tokens, nowNanos);
 		// the preferred target is not assumed to hold the parts: it may never have read
 		// them
 		Optional<GatewayTarget> holder = offered.stream()
--- a/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/gateway/TargetEligibility.java
+++ b/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/gateway/TargetEligibility.java
@@ -97,7 +97,8 @@
 	}
 
 	private static boolean isCold(GatewayTarget target, DeclaredService service, long nowNanos) {
-		return service.warmupRequestsPerSecond() > 0 && (target.isCold(nowNanos) || target.health().isProbing());
+		return service.warmupRequestsPerSecond() > 0
+				&& (target.isCold(nowNanos) || target.health().mayHaveRestarted(service.coldStartMillis(), nowNanos));
 	}
 
 	private boolean isWithinColdQuota(GatewayTarget target, DeclaredService service, long nowNanos) {
--- a/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/gateway/TargetHealth.java
+++ b/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/gateway/TargetHealth.java
@@ -29,6 +29,11 @@
 
 	private static final long LONGEST_EJECTION_NANOS = TimeUnit.SECONDS.toNanos(8);
 
+	/**
+	 * The time in which a target that has ended starts again and reports that it is cold.
+	 */
+	private static final long RESTART_NANOS = TimeUnit.SECONDS.toNanos(8);
+
 	private int consecutiveFailures;
 
 	private int samples;
@@ -37,6 +42,8 @@
 
 	private long ejectedUntilNanos;
 
+	private long ejectedNanos;
+
 	private final long firstEjectionNanos;
 
 	private final long longestEjectionNanos;
@@ -97,6 +104,7 @@
 				return false;
 			}
 			this.ejected = true;
+			this.ejectedNanos = nowNanos;
 			this.ejectedUntilNanos = nowNanos + this.ejectionNanos;
 			this.ejectionNanos = Math.min(2 * this.ejectionNanos, this.longestEjectionNanos);
 			return true;
@@ -121,6 +129,19 @@
 		return this.ejected;
 	}
 
+	/**
+	 * Returns whether the target may have restarted without this VM knowing of it, and so
+	 * be cold.
+	 * @param coldMillis the time in milliseconds that a target stays cold after its start
+	 * @param nowNanos the monotonic time
+	 * @return {@code true} from an ejection until a request succeeds, or until a target
+	 * that ended at the ejection would have started again and be warm
+	 */
+	boolean mayHaveRestarted(long coldMillis, long nowNanos) {
+		long restartNanos = RESTART_NANOS + TimeUnit.MILLISECONDS.toNanos(coldMillis);
+		return this.ejected && nowNanos - this.ejectedNanos < restartNanos;
+	}
+
 	double failedShare() {
 		return this.failedShare;
 	}
--- a/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/gateway/TargetSpeed.java
+++ b/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/gateway/TargetSpeed.java
@@ -3,10 +3,12 @@
 import java.util.concurrent.TimeUnit;
 
 /**
- * The measured speed of one target: how fast it reads prompts, compared with the other
- * targets of its service, and the recent pace and longest pause of its streams.
+ * The measured speed of one target: how fast it answers requests of a plain service, or
+ * how fast it reads prompts, compared with the other targets of its service, and the
+ * recent pace and longest pause of its streams.
  * <p>
- * Not thread safe.
+ * Nothing measured keeps requests away for good: what is slower than usual expires. Not
+ * thread safe.
  */
 final class TargetSpeed {
 
@@ -29,8 +31,12 @@
 	 */
 	private static final long EVENT_MEMORY_NANOS = TimeUnit.MILLISECONDS.toNanos(1_500);
 
+	private final AnswerTimeEstimate answerTime = new AnswerTimeEstimate();
+
 	private double readingFactor = 1;
 
+	private long readNanos;
+
 	private double eventMillis;
 
 	private long eventNanos;
@@ -39,21 +45,31 @@
 
 	private long pausedNanos;
 
+	AnswerTimeEstimate answerTime() {
+		return this.answerTime;
+	}
+
 	/**
 	 * Records that the target has read a prompt.
 	 * @param factor the reading speed as a multiple of the service's average
+	 * @param nowNanos the monotonic time
 	 */
-	void recordPromptRead(double factor) {
+	void recordPromptRead(double factor, long nowNanos) {
 		double clampedFactor = Math.max(MIN_READING_FACTOR, Math.min(MAX_READING_FACTOR, factor));
-		this.readingFactor += NEW_SAMPLE_WEIGHT * (clampedFactor - this.readingFactor);
+		double knownFactor = readingFactor(nowNanos);
+		this.readingFactor = knownFactor + NEW_SAMPLE_WEIGHT * (clampedFactor - knownFactor);
+		this.readNanos = nowNanos;
 	}
 
 	/**
 	 * Returns the target's reading speed.
-	 * @return the speed as a multiple of the service's average
+	 * @param nowNanos the monotonic time
+	 * @return the speed as a multiple of the service's average, at least the average if
+	 * the target has read no prompt for long
 	 */
-	double readingFactor() {
-		return this.readingFactor;
+	double readingFactor(long nowNanos) {
+		boolean expired = nowNanos - this.readNanos > ServiceSpeed.SLOW_READING_NANOS;
+		return expired ? Math.max(1, this.readingFactor) : this.readingFactor;
 	}
 
 	/**
--- a/vanillatrestle-core/src/test/java/org/vanillatrestle/internal/gateway/EngineReplay.java
+++ b/vanillatrestle-core/src/test/java/org/vanillatrestle/internal/gateway/EngineReplay.java
@@ -137,8 +137,8 @@
 		RequestShape shape = new RequestShape(this.service, line.sharedTokens() + line.ownTokens(), line.outputTokens(),
 				line.prompt(this.random, number), PAUSE_OBJECTIVE_MILLIS, maxShare);
 		Optional<TargetChoice> choice = vm.choose(shape, Set.of(), nowNanos);
-		if (choice.isEmpty()
-				|| !this.admission.admits(choice.get(), shape, line.objectiveMillis(), vm.readMillis(shape))) {
+		if (choice.isEmpty() || !this.admission.admits(choice.get(), shape, line.objectiveMillis(),
+				vm.readMillis(shape, nowNanos))) {
 			outcome.refused++;
 			return;
 		}
--- a/vanillatrestle-core/src/test/java/org/vanillatrestle/internal/gateway/GatewayTargetsTests.java
+++ b/vanillatrestle-core/src/test/java/org/vanillatrestle/internal/gateway/GatewayTargetsTests.java
@@ -136,10 +136,10 @@
 
 	@Test
 	void shouldEstimateReadingOfUnsharedPartsInAnotherRegion() {
-		long shortPrompt = this.targets.readMillis(shape(MODEL, 200, "shared", "own"));
-		long longPrompt = this.targets.readMillis(shape(MODEL, 80_000, "shared", "own"));
+		long shortPrompt = this.targets.readMillis(shape(MODEL, 200, "shared", "own"), 0);
+		long longPrompt = this.targets.readMillis(shape(MODEL, 80_000, "shared", "own"), 0);
 		assertThat(longPrompt).isGreaterThan(shortPrompt + 500);
-		assertThat(this.targets.readMillis(shape(PLAIN, 0))).isZero();
+		assertThat(this.targets.readMillis(shape(PLAIN, 0), 0)).isZero();
 	}
 
 	@Test
@@ -168,13 +168,13 @@
 		add("a", MODEL, TargetCondition.READY, 0);
 		RequestShape shape = shape(MODEL, 4_000, "p");
 		this.targets.setOtherLoads(List.of(new InFlightLoad(new TargetId("a"), 2, 60_000, 0)), 0);
-		long before = this.targets.readMillis(shape(MODEL, 40_000, "q"));
+		long before = this.targets.readMillis(shape(MODEL, 40_000, "q"), 0);
 		for (int i = 0; i < 20; i++) {
 			InFlightRequest request = this.targets.begin(choose(shape).orElseThrow(), shape, 0);
 			request.answerStarted(TimeUnit.MILLISECONDS.toNanos(100));
 			request.answered(TimeUnit.MILLISECONDS.toNanos(200));
 		}
-		assertThat(this.targets.readMillis(shape(MODEL, 40_000, "q"))).isEqualTo(before);
+		assertThat(this.targets.readMillis(shape(MODEL, 40_000, "q"), 0)).isEqualTo(before);
 	}
 
 	@Test
@@ -265,7 +265,7 @@
 		add("b", MODEL, TargetCondition.READY, 0);
 		GatewayTarget slow = this.targets.all().iterator().next();
 		for (int i = 0; i < 20; i++) {
-			slow.speed().recordPromptRead(0.5);
+			slow.speed().recordPromptRead(0.5, 0);
 		}
 		for (int i = 0; i < 20; i++) {
 			assertThat(choose(MODEL, 4_000).orElseThrow().target()).isNotSameAs(slow);
@@ -368,6 +368,80 @@
 		assertThat(other.target().own().requests()).isEqualTo(1);
 	}
 
+	// guards against a target that is refused all requests for good after a slow phase,
+	// because only an answer could tell that it is fast again
+	@Test
+	void shouldTryATargetAgainThatWasTooSlowWithOneRequestAtATime() {
+		long nowNanos = answerSlowly(40, 5_000);
+		assertThat(waitMillis(nowNanos)).isGreaterThan(4_000);
+		long laterNanos = nowNanos + TimeUnit.SECONDS.toNanos(6);
+		assertThat(waitMillis(laterNanos)).isLessThan(686);
+		RequestShape shape = shape(PLAIN, 0);
+		InFlightRequest probe = this.targets.begin(this.targets.choose(shape, Set.of(), laterNanos).orElseThrow(),
+				shape, laterNanos);
+		assertThat(waitMillis(laterNanos)).as("held while a request finds out").isGreaterThan(4_000);
+		long answeredNanos = laterNanos + TimeUnit.MILLISECONDS.toNanos(86);
+		probe.answered(answeredNanos);
+		assertThat(waitMillis(answeredNanos)).as("open again").isLessThan(686);
+	}
+
+	// guards against a slow target that makes its sound neighbours look slow
+	@Test
+	void shouldNotTakeAnotherTargetOfTheServiceForSlow() {
+		long nowNanos = answerSlowly(40, 5_000);
+		add("b", PLAIN, TargetCondition.READY, 0);
+		TargetChoice choice = this.targets.choose(shape(PLAIN, 0), Set.of(), nowNanos).orElseThrow();
+		assertThat(choice.target().id()).isEqualTo(new TargetId("b"));
+		assertThat(choice.waitMillis()).isLessThan(100);
+	}
+
+	// guards against a new target that looks slower than its fast neighbours and so is
+	// never tried
+	@Test
+	void shouldTryANewTargetBesideAFastOne() {
+		long nowNanos = answerSlowly(100, 1);
+		add("b", PLAIN, TargetCondition.READY, 0);
+		Set<TargetId> chosen = new HashSet<>();
+		for (int i = 0; i < 40; i++) {
+			chosen.add(this.targets.choose(shape(PLAIN, 0), Set.of(), nowNanos).orElseThrow().target().id());
+		}
+		assertThat(chosen).contains(new TargetId("b"));
+	}
+
+	private long answerSlowly(int requests, long answerMillis) {
+		add("a", PLAIN, TargetCondition.READY, 0);
+		RequestShape shape = shape(PLAIN, 0);
+		long nowNanos = 0;
+		for (int i = 0; i < requests; i++) {
+			InFlightRequest request = this.targets.begin(this.targets.choose(shape, Set.of(), nowNanos).orElseThrow(),
+					shape, nowNanos);
+			nowNanos += TimeUnit.MILLISECONDS.toNanos(answerMillis);
+			request.answered(nowNanos);
+		}
+		return nowNanos;
+	}
+
+	private long waitMillis(long nowNanos) {
+		return this.targets.choose(shape(PLAIN, 0), Set.of(), nowNanos).orElseThrow().waitMillis();
+	}
+
+	// guards against VMs without a share of the requests that cold targets tolerate,
+	// which
+	// never try an ejected target again
+	@Test
+	void shouldTryAnEjectedTargetAgainWithoutAShareForColdTargets() {
+		add("a", MODEL, TargetCondition.READY, 0);
+		RequestShape shape = shape(MODEL, 10, "p");
+		this.targets.begin(choose(shape).orElseThrow(), shape, 0).failed(true, 0);
+		this.targets.setRegionEntries(new TreeSet<>(Set.of(new VmId("edge-2"))), 0);
+		long soonNanos = TimeUnit.SECONDS.toNanos(4);
+		assertThat(this.targets.choose(shape, Set.of(), soonNanos)).as("it may have restarted and be cold").isEmpty();
+		long laterNanos = TimeUnit.SECONDS.toNanos(12);
+		TargetChoice probe = this.targets.choose(shape, Set.of(), laterNanos).orElseThrow();
+		this.targets.begin(probe, shape, laterNanos);
+		assertThat(this.targets.choose(shape, Set.of(), laterNanos)).as("one request at a time").isEmpty();
+	}
+
 	private Optional<TargetChoice> choose(DeclaredService service, int tokens) {
 		return choose(shape(service, tokens, "part"));
 	}
--- a/vanillatrestle-core/src/test/java/org/vanillatrestle/internal/gateway/StreamReplay.java
+++ b/vanillatrestle-core/src/test/java/org/vanillatrestle/internal/gateway/StreamReplay.java
@@ -143,7 +143,7 @@
 				this.limitsReading ? RequestShape.maxReadingShare(line.rank()) : Double.MAX_VALUE,
 				line.deadlineMillis());
 		Optional<TargetChoice> choice = vm.choose(shape, Set.of(), nanos(nowMillis));
-		if (choice.isEmpty() || !admits(choice.get(), shape, line, vm.readMillis(shape))) {
+		if (choice.isEmpty() || !admits(choice.get(), shape, line, vm.readMillis(shape, nanos(nowMillis)))) {
 			run.refused = true;
 			return;
 		}
--- a/vanillatrestle-core/src/test/java/org/vanillatrestle/internal/gateway/TargetSpeedTests.java
+++ b/vanillatrestle-core/src/test/java/org/vanillatrestle/internal/gateway/TargetSpeedTests.java
@@ -12,19 +12,19 @@
 
 	@Test
 	void shouldLearnTheReadingSpeedOfATarget() {
-		assertThat(this.speed.readingFactor()).isEqualTo(1);
+		assertThat(this.speed.readingFactor(0)).isEqualTo(1);
 		for (int i = 0; i < 100; i++) {
-			this.speed.recordPromptRead(0.5);
+			this.speed.recordPromptRead(0.5, 0);
 		}
-		assertThat(this.speed.readingFactor()).isBetween(0.49, 0.51);
+		assertThat(this.speed.readingFactor(0)).isBetween(0.49, 0.51);
 	}
 
 	@Test
 	void shouldLimitTheEffectOfAnOutlier() {
-		this.speed.recordPromptRead(1_000);
-		assertThat(this.speed.readingFactor()).isLessThan(1.3);
-		this.speed.recordPromptRead(0);
-		assertThat(this.speed.readingFactor()).isPositive();
+		this.speed.recordPromptRead(1_000, 0);
+		assertThat(this.speed.readingFactor(0)).isLessThan(1.3);
+		this.speed.recordPromptRead(0, 0);
+		assertThat(this.speed.readingFactor(0)).isPositive();
 	}
 
 	@Test
@@ -37,6 +37,16 @@
 		assertThat(this.speed.longestPauseMillis(nanos(22_000))).isEqualTo(100);
 	}
 
+	// guards against a target that once read slowly and gets no prompts any more
+	@Test
+	void shouldForgetSlowReadingThatNoPromptConfirms() {
+		for (int i = 0; i < 100; i++) {
+			this.speed.recordPromptRead(0.3, 0);
+		}
+		assertThat(this.speed.readingFactor(nanos(10_000))).isLessThan(0.4);
+		assertThat(this.speed.readingFactor(nanos(20_000))).isEqualTo(1);
+	}
+
 	private static long nanos(long millis) {
 		return TimeUnit.MILLISECONDS.toNanos(millis);
 	}
--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/EntryVm.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/EntryVm.java
@@ -5,6 +5,7 @@
 import java.util.Collection;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import java.util.SortedSet;
 import java.util.TreeSet;
 import java.util.concurrent.TimeUnit;
@@ -41,6 +42,7 @@
 import org.vanillatrestle.internal.gateway.GatewayTarget;
 import org.vanillatrestle.internal.gateway.GatewayTargets;
 import org.vanillatrestle.internal.gateway.RemoteEntries;
+import org.vanillatrestle.internal.gateway.RequestShape;
 import org.vanillatrestle.internal.gateway.RetryBudget;
 import org.vanillatrestle.internal.gateway.TargetChoice;
 import org.vanillatrestle.internal.quarantine.PartQuarantine;
@@ -99,6 +101,8 @@
 
 	private final RequestTelemetry telemetry = new RequestTelemetry();
 
+	private final WaitGauges waitGauges = new WaitGauges(this.telemetry);
+
 	private final RequestDispatcher dispatcher;
 
 	private final EntryFleet fleet;
@@ -173,10 +177,20 @@
 		this.telemetry.gauge("vanillatrestle.gateway.connections", this.callerServer::connectionCount);
 		this.telemetry.gauge("vanillatrestle.gateway.data.centre.vms", () -> this.dataCentreVmCount);
 		this.loop.execute(this.fleet::start);
-		this.loop.scheduleAtFixedRate(this.targets::removeGone, HOUSEKEEPING_PERIOD_MILLIS, HOUSEKEEPING_PERIOD_MILLIS,
+		this.loop.scheduleAtFixedRate(this::housekeep, HOUSEKEEPING_PERIOD_MILLIS, HOUSEKEEPING_PERIOD_MILLIS,
 				TimeUnit.MILLISECONDS);
 	}
 
+	private void housekeep() {
+		this.targets.removeGone();
+		long now = System.nanoTime();
+		for (DeclaredService service : this.dispatcher.services()) {
+			RequestShape noPrompt = new RequestShape(service, 0, 0, List.of(),
+					this.dispatcher.pauseObjectiveMillis(service.name()), Double.MAX_VALUE);
+			this.waitGauges.update(service.name(), this.targets.choose(noPrompt, Set.of(), now), now);
+		}
+	}
+
 	private HostAndPort forwardAddress() {
 		return new HostAndPort(this.settings.host(), this.settings.listen().forwardPort());
 	}
--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/PlacementPlan.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/PlacementPlan.java
@@ -57,7 +57,7 @@
 							now);
 			}
 		}
-		long readMillis = context.targets().readMillis(shape);
+		long readMillis = context.targets().readMillis(shape, now);
 		return new PlacementPlan(target, vm,
 				target.map((choice) -> new Placement.Estimate(choice.waitMillis(), choice.harmfulReadingShare()))
 					.orElse(Placement.Estimate.NONE),
@@ -76,7 +76,7 @@
 	 */
 	Placement decide(GatewayContext context, DeclaredRoute route, RequestShape shape, long remainingMillis) {
 		return Placement.decide(this.local, this.remote, shape.maxReadingShare(), route.latencyObjectiveMillis(),
-				context.targets().readMillis(shape), remainingMillis);
+				context.targets().readMillis(shape, System.nanoTime()), remainingMillis);
 	}
 
 	/**
@@ -90,7 +90,8 @@
 	Placement decideForBegunAnswer(GatewayContext context, DeclaredRoute route, RequestShape shape,
 			long remainingMillis) {
 		return Placement.decideForBegunAnswer(this.local, this.remote, shape.maxReadingShare(),
-				route.latencyObjectiveMillis(), context.targets().readMillis(shape), remainingMillis);
+				route.latencyObjectiveMillis(), context.targets().readMillis(shape, System.nanoTime()),
+				remainingMillis);
 	}
 
 	static boolean hasUntriedTarget(GatewayContext context, RequestShape shape, AttemptHistory attempts) {
--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/RequestTelemetry.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/RequestTelemetry.java
@@ -179,6 +179,17 @@
 		Gauge.builder(name, value).register(this.registry);
 	}
 
+	/**
+	 * Registers a gauge of one service whose value is read whenever the metrics are
+	 * scraped.
+	 * @param name the metric's name
+	 * @param service the service's name
+	 * @param value supplies the value; may be called by any thread
+	 */
+	void gauge(String name, String service, Supplier<Number> value) {
+		Gauge.builder(name, value).tags("service", service).register(this.registry);
+	}
+
 	/**
 	 * Returns all metrics in the Prometheus text format.
 	 * @return the text
