Drop orders whose caller has gone or that other changes have overtaken

What callers saw: requests reached a zone after its evacuation had been acknowledged.

Cause: declarations have a version; evacuations and notices took effect whenever they were read.

Why it works: an order that may be old (its connection was quiet before it, or the event loop has stalled) is held back until a close of its connection would be known, and dropped if its caller has gone. A proposal names the index of the state that it changes and has no effect on another one, so that one that is held up between VMs can't undo a later order; the VM proposes again only while the caller waits.

--- a/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/declaration/DeclarationCommand.java
+++ b/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/declaration/DeclarationCommand.java
@@ -1,5 +1,7 @@
 package org.vanillatrestle.internal.declaration;
 
+import java.util.OptionalLong;
+
 import org.vanillatrestle.DataCentreId;
 
 /**
@@ -20,13 +22,28 @@
 	}
 
 	/**
-	 * Starts or ends the evacuation of a data centre.
+	 * Starts or ends the evacuation of a data centre, unless the state has changed since
+	 * the order was given. An order may be delayed on its way until after a later one was
+	 * acknowledged.
 	 *
 	 * @param dataCentre the data centre
 	 * @param evacuated whether the data centre is evacuated, which means that its targets
 	 * receive no requests
+	 * @param expectedIndex the index of the state that the command changes, empty for any
+	 * state
 	 */
-	record Evacuate(DataCentreId dataCentre, boolean evacuated) implements DeclarationCommand {
+	record Evacuate(DataCentreId dataCentre, boolean evacuated,
+			OptionalLong expectedIndex) implements DeclarationCommand {
+
+		/**
+		 * Checks whether a state is the one that the command changes.
+		 * @param state the state
+		 * @return whether no other change has overtaken the command
+		 */
+		boolean appliesTo(DeclaredState state) {
+			return this.expectedIndex.isEmpty() || this.expectedIndex.getAsLong() == state.index();
+		}
+
 	}
 
 }
--- a/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/declaration/DeclaredState.java
+++ b/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/declaration/DeclaredState.java
@@ -29,6 +29,16 @@
 		evacuated = Collections.unmodifiableSortedSet(new TreeSet<>(evacuated));
 	}
 
+	/**
+	 * Checks whether a data centre is evacuated as ordered.
+	 * @param dataCentre the data centre
+	 * @param wanted whether it is to be evacuated
+	 * @return whether nothing has to be changed
+	 */
+	public boolean isEvacuated(DataCentreId dataCentre, boolean wanted) {
+		return this.evacuated.contains(dataCentre) == wanted;
+	}
+
 	public boolean isDeclared() {
 		return this.document.length > 0;
 	}
@@ -45,6 +55,9 @@
 			return isHigher ? new DeclaredState(newIndex, declare.version(), declare.document(), this.evacuated) : this;
 		}
 		DeclarationCommand.Evacuate evacuate = (DeclarationCommand.Evacuate) command;
+		if (!evacuate.appliesTo(this)) {
+			return this;
+		}
 		SortedSet<DataCentreId> newEvacuated = new TreeSet<>(this.evacuated);
 		boolean isChanged = evacuate.evacuated() ? newEvacuated.add(evacuate.dataCentre())
 				: newEvacuated.remove(evacuate.dataCentre());
--- a/vanillatrestle-core/src/test/java/org/vanillatrestle/internal/declaration/DeclaredStateTests.java
+++ b/vanillatrestle-core/src/test/java/org/vanillatrestle/internal/declaration/DeclaredStateTests.java
@@ -1,6 +1,7 @@
 package org.vanillatrestle.internal.declaration;
 
 import java.nio.charset.StandardCharsets;
+import java.util.OptionalLong;
 
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
@@ -38,17 +39,27 @@
 	@Test
 	void shouldKeepEvacuationsWhenTheDeclarationChanges() {
 		DeclaredState state = DeclaredState.NONE.after(1, declare(1, "a"))
-			.after(2, new DeclarationCommand.Evacuate(DATA_CENTRE, true))
+			.after(2, evacuate(true))
 			.after(3, declare(2, "b"));
 		assertThat(state.evacuated()).containsExactly(DATA_CENTRE);
 	}
 
 	@Test
 	void shouldEndAnEvacuationOnlyOnce() {
-		DeclaredState state = DeclaredState.NONE.after(1, new DeclarationCommand.Evacuate(DATA_CENTRE, true))
-			.after(2, new DeclarationCommand.Evacuate(DATA_CENTRE, false));
+		DeclaredState state = DeclaredState.NONE.after(1, evacuate(true)).after(2, evacuate(false));
 		assertThat(state.evacuated()).isEmpty();
-		assertThat(state.after(3, new DeclarationCommand.Evacuate(DATA_CENTRE, false))).isSameAs(state);
+		assertThat(state.after(3, evacuate(false))).isSameAs(state);
+	}
+
+	// guards against a delayed order that undoes the opposite one, which was acknowledged
+	// meanwhile
+	@Test
+	void shouldIgnoreAnOrderThatOtherChangesHaveOvertaken() {
+		DeclaredState evacuated = DeclaredState.NONE.after(1, evacuate(true));
+		DeclarationCommand late = new DeclarationCommand.Evacuate(DATA_CENTRE, false, OptionalLong.of(1));
+		DeclaredState again = evacuated.after(2, evacuate(false)).after(3, evacuate(true));
+		assertThat(again.after(4, late)).isSameAs(again);
+		assertThat(evacuated.after(2, late).evacuated()).isEmpty();
 	}
 
 	@Property
@@ -75,6 +86,10 @@
 		assertThat(selected).isEqualTo((draw < 900) ? "first" : "third");
 	}
 
+	private static DeclarationCommand evacuate(boolean evacuated) {
+		return new DeclarationCommand.Evacuate(DATA_CENTRE, evacuated, OptionalLong.empty());
+	}
+
 	private static DeclarationCommand declare(long version, String content) {
 		return new DeclarationCommand.Declare(version, bytes(content));
 	}
--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/declared/DeclarationCalls.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/declared/DeclarationCalls.java
@@ -31,6 +31,11 @@
 	 */
 	private static final int CALL_TIMEOUT_MILLIS = 900;
 
+	/**
+	 * Timeout of a call to the leader for an order that is first held back for a moment.
+	 */
+	private static final int HELD_BACK_CALL_TIMEOUT_MILLIS = 700;
+
 	private final VmId self;
 
 	private final DeclaredReplica replica;
@@ -76,8 +81,10 @@
 		if (leader.isEmpty()) {
 			return CompletableFuture.completedFuture(Optional.empty());
 		}
+		boolean heldBack = command.filter(DeclarationCommand.Evacuate.class::isInstance).isPresent();
 		return this.links.get()
-			.call(leader.get(), DeclarationCodec.encodeCall(command), CALL_TIMEOUT_MILLIS)
+			.call(leader.get(), DeclarationCodec.encodeCall(command),
+					heldBack ? HELD_BACK_CALL_TIMEOUT_MILLIS : CALL_TIMEOUT_MILLIS)
 			.handle((reply, failure) -> (failure != null) ? Optional.empty() : decodeReplyOrEmpty(reply));
 	}
 
--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/declared/DeclaredReplica.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/declared/DeclaredReplica.java
@@ -60,6 +60,8 @@
 
 	private volatile boolean closed;
 
+	private volatile DeclaredState knownState = DeclaredState.NONE;
+
 	private Role loggedRole;
 
 	/**
@@ -123,6 +125,15 @@
 		return this.host.status();
 	}
 
+	/**
+	 * Returns the latest state that this replica has applied, which others may have
+	 * overtaken.
+	 * @return the state, {@link DeclaredState#NONE} if there is none yet
+	 */
+	public DeclaredState knownState() {
+		return this.knownState;
+	}
+
 	/**
 	 * Returns whether changes can be ordered, by this replica as the leader or by another
 	 * leader that it has recently heard of.
@@ -234,6 +245,7 @@
 
 		private void notifyIfChanged(DeclaredState before) {
 			if (this.applied.state() != before) {
+				DeclaredReplica.this.knownState = this.applied.state();
 				DeclaredReplica.this.changes.accept(this.applied.state());
 			}
 		}
--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/ControlOperations.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/ControlOperations.java
@@ -49,6 +49,12 @@
 	 */
 	CompletableFuture<Optional<DeclaredState>> propose(DeclarationCommand command);
 
+	/**
+	 * Returns the index of the latest declared state that this VM knows.
+	 * @return the index in the replicated log, 0 if it knows none
+	 */
+	long knownIndex();
+
 	/**
 	 * Reads the declared state.
 	 * @return the latest acknowledged state, empty if this VM can't determine it
--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/ControlRoute.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/ControlRoute.java
@@ -3,10 +3,10 @@
 import java.nio.charset.StandardCharsets;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.Executor;
 import java.util.function.BooleanSupplier;
 
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import io.netty.channel.EventLoop;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
@@ -39,7 +39,9 @@
 
 	private final Optional<ControlOperations> operations;
 
-	private final Executor loop;
+	private final EventLoop loop;
+
+	private final LoopStallMonitor stalls = new LoopStallMonitor(System::nanoTime);
 
 	/**
 	 * Creates the route.
@@ -49,11 +51,12 @@
 	 * @param loop the VM's event loop
 	 */
 	public ControlRoute(GatewayProtocol protocol, BooleanSupplier ready, Optional<ControlOperations> operations,
-			Executor loop) {
+			EventLoop loop) {
 		this.protocol = protocol;
 		this.ready = ready;
 		this.operations = operations;
 		this.loop = loop;
+		operations.ifPresent((present) -> this.stalls.start(loop));
 	}
 
 	@Override
@@ -74,12 +77,48 @@
 		else if (call instanceof ControlCall.Unknown || this.operations.isEmpty()) {
 			respond(sink, 404, message("this VM does not serve this path"));
 		}
+		else if (call instanceof ControlCall.Leave leave) {
+			return leave(leave, this.operations.get(), sink);
+		}
+		else if (call instanceof ControlCall.Evacuate evacuate) {
+			return evacuate(evacuate, this.operations.get(), sink);
+		}
 		else {
 			serve(call, this.operations.get(), sink);
 		}
 		return null;
 	}
 
+	// the notice names no incarnation: a late one must not remove a target that has
+	// started again
+	private ConnectionListener leave(ControlCall.Leave call, ControlOperations operations, AnswerSink sink) {
+		CallerPresence caller = presence(sink);
+		caller.whenSettled(() -> {
+			operations.leave(call.target());
+			boolean acknowledged = operations.isConnectedToMajority();
+			operations.metrics().countResponse("leaves", acknowledged);
+			respond(sink, acknowledged ? 200 : 503, EMPTY_OBJECT);
+		}, () -> {
+			operations.metrics().countResponse("leaves", false);
+			EventLog.write(EventKind.REPORT_REFUSED, "target", call.target(), "reason",
+					"the target no longer waits for an answer to its notice that it leaves");
+			respond(sink, 503, EMPTY_OBJECT);
+		});
+		return caller;
+	}
+
+	private CallerPresence presence(AnswerSink sink) {
+		return new CallerPresence(this.loop, sink.maxRequestAgeMillis(), this.stalls.hasStalledRecently());
+	}
+
+	private ConnectionListener evacuate(ControlCall.Evacuate call, ControlOperations operations, AnswerSink sink) {
+		CallerPresence caller = presence(sink);
+		new EvacuationOrder(call, operations, this.loop, caller,
+				(done) -> respond(sink, done ? 200 : 503, EMPTY_OBJECT))
+			.start();
+		return caller;
+	}
+
 	private void serve(ControlCall call, ControlOperations operations, AnswerSink sink) {
 		if (call instanceof ControlCall.Resolve resolve) {
 			Optional<byte[]> directory = operations.resolve(resolve);
@@ -93,23 +132,11 @@
 			operations.metrics().countResponse("reports", acknowledged);
 			respond(sink, acknowledged ? 200 : 503, EMPTY_OBJECT);
 		}
-		else if (call instanceof ControlCall.Leave leave) {
-			operations.leave(leave.target());
-			boolean acknowledged = operations.isConnectedToMajority();
-			operations.metrics().countResponse("leaves", acknowledged);
-			respond(sink, acknowledged ? 200 : 503, EMPTY_OBJECT);
-		}
 		else if (call instanceof ControlCall.Declare declare) {
 			long version = declare.declaration().version();
-			respondToChange(operations.propose(new DeclarationCommand.Declare(version, declare.document())), "declare",
+			respondToChange(operations.propose(new DeclarationCommand.Declare(version, declare.document())),
 					"declare " + version, operations, sink);
 		}
-		else if (call instanceof ControlCall.Evacuate evacuate) {
-			respondToChange(
-					operations.propose(new DeclarationCommand.Evacuate(evacuate.dataCentre(), evacuate.evacuated())),
-					"evacuate", (evacuate.evacuated() ? "evacuate " : "end evacuation of ") + evacuate.dataCentre(),
-					operations, sink);
-		}
 		else if (call instanceof ControlCall.ReadDeclaration) {
 			long startNanos = System.nanoTime();
 			operations.read().whenCompleteAsync((state, failure) -> {
@@ -120,12 +147,12 @@
 		}
 	}
 
-	private void respondToChange(CompletableFuture<Optional<DeclaredState>> outcome, String kind, String operation,
+	private void respondToChange(CompletableFuture<Optional<DeclaredState>> outcome, String operation,
 			ControlOperations operations, AnswerSink sink) {
 		long startNanos = System.nanoTime();
 		outcome.whenCompleteAsync((state, failure) -> {
 			boolean succeeded = failure == null && state.isPresent();
-			operations.metrics().recordOperatorCall(kind, succeeded, System.nanoTime() - startNanos);
+			operations.metrics().recordOperatorCall("declare", succeeded, System.nanoTime() - startNanos);
 			EventLog.write(EventKind.OPERATOR_CALL, "order", operation, "done", succeeded, "index",
 					succeeded ? state.get().index() : null, "millis", (System.nanoTime() - startNanos) / 1_000_000);
 			respond(sink, succeeded ? 200 : 503, EMPTY_OBJECT);
--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/ControlVm.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/ControlVm.java
@@ -243,6 +243,11 @@
 		return this.declarationCalls.propose(command);
 	}
 
+	@Override
+	public long knownIndex() {
+		return this.replica.knownState().index();
+	}
+
 	@Override
 	public CompletableFuture<Optional<DeclaredState>> read() {
 		return this.declarationCalls.read();
--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/http/CallerConnection.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/http/CallerConnection.java
@@ -73,6 +73,8 @@
 
 	private int reservedBytes;
 
+	private long quietSinceNanos;
+
 	private boolean requestActive;
 
 	private boolean answerPassed;
@@ -210,7 +212,7 @@
 	}
 
 	private HttpAnswerSink newSink(ChannelHandlerContext context, HttpVersion version, boolean keepAlive) {
-		return new HttpAnswerSink(context, version, keepAlive, this.shuttingDown,
+		return new HttpAnswerSink(context, version, keepAlive, this.quietSinceNanos, this.shuttingDown,
 				(written, closes) -> answerCompleted(context, written, closes));
 	}
 
@@ -311,6 +313,7 @@
 	}
 
 	private void startIdleTimer(ChannelHandlerContext context) {
+		this.quietSinceNanos = System.nanoTime();
 		startTimer(context, this.limits.idleTimeoutMillis(), context::close);
 	}
 
--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/http/HttpAnswerSink.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/http/HttpAnswerSink.java
@@ -1,5 +1,6 @@
 package org.vanillatrestle.daemon.internal.http;
 
+import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 
 import io.netty.buffer.ByteBuf;
@@ -45,17 +46,30 @@
 
 	private final CompletionListener listener;
 
+	private final long maxRequestAgeMillis;
+
 	private boolean closesConnection;
 
 	private boolean headWritten;
 
 	private boolean complete;
 
-	HttpAnswerSink(ChannelHandlerContext context, HttpVersion version, boolean keepAlive, BooleanSupplier shuttingDown,
-			CompletionListener listener) {
+	/**
+	 * Creates a sink for the answer to a request that has just been read.
+	 * @param context the connection
+	 * @param version the HTTP version of the request
+	 * @param keepAlive whether the caller wants to keep the connection
+	 * @param quietSinceNanos the monotonic time at which the connection was opened or its
+	 * previous answer was written
+	 * @param shuttingDown whether the VM is shutting down
+	 * @param listener is notified when the answer is complete
+	 */
+	HttpAnswerSink(ChannelHandlerContext context, HttpVersion version, boolean keepAlive, long quietSinceNanos,
+			BooleanSupplier shuttingDown, CompletionListener listener) {
 		this.context = context;
 		this.version = version;
 		this.keepAlive = keepAlive;
+		this.maxRequestAgeMillis = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - quietSinceNanos);
 		this.shuttingDown = shuttingDown;
 		this.listener = listener;
 	}
@@ -156,6 +170,11 @@
 		answer(head, RefusalWriter.body(refusal));
 	}
 
+	@Override
+	public long maxRequestAgeMillis() {
+		return this.maxRequestAgeMillis;
+	}
+
 	@Override
 	public boolean isWritable() {
 		return this.context.channel().isWritable();
--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/pipeline/AnswerSink.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/pipeline/AnswerSink.java
@@ -56,6 +56,16 @@
 		refuse(refusal, new AnswerHead(refusal.status(), RefusalWriter.headers(refusal)));
 	}
 
+	/**
+	 * Returns the longest time for which the request can have been on its way, unless
+	 * this VM was frozen: it was sent after its connection had been opened, and after the
+	 * previous answer on it.
+	 * @return the time in milliseconds, {@link Long#MAX_VALUE} if it is not known
+	 */
+	default long maxRequestAgeMillis() {
+		return Long.MAX_VALUE;
+	}
+
 	/**
 	 * Returns whether the sink can accept more parts without exceeding its memory limit.
 	 * @return whether to continue reading from the target
--- a/vanillatrestle-wire/src/main/java/org/vanillatrestle/wire/DeclarationCodec.java
+++ b/vanillatrestle-wire/src/main/java/org/vanillatrestle/wire/DeclarationCodec.java
@@ -1,6 +1,7 @@
 package org.vanillatrestle.wire;
 
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.TreeSet;
 import java.util.stream.Collectors;
 
@@ -158,19 +159,27 @@
 				.setPackedDocument(DocumentPacking.pack(declare.document())));
 		}
 		else if (command instanceof DeclarationCommand.Evacuate evacuate) {
-			message.setEvacuate(EvacuateMessage.newBuilder()
+			EvacuateMessage.Builder order = EvacuateMessage.newBuilder()
 				.setDataCentre(evacuate.dataCentre().value())
-				.setEvacuated(evacuate.evacuated()));
+				.setEvacuated(evacuate.evacuated());
+			evacuate.expectedIndex().ifPresent(order::setExpectedIndex);
+			message.setEvacuate(order);
 		}
 		return message.build();
 	}
 
+	private static DeclarationCommand evacuation(EvacuateMessage message) {
+		OptionalLong expectedIndex = message.hasExpectedIndex() ? OptionalLong.of(message.getExpectedIndex())
+				: OptionalLong.empty();
+		return new DeclarationCommand.Evacuate(new DataCentreId(message.getDataCentre()), message.getEvacuated(),
+				expectedIndex);
+	}
+
 	private static DeclarationCommand command(DeclarationCommandMessage message) {
 		return switch (message.getCommandCase()) {
 			case DECLARE -> new DeclarationCommand.Declare(message.getDeclare().getVersion(),
 					DocumentPacking.unpack(message.getDeclare().getPackedDocument()));
-			case EVACUATE -> new DeclarationCommand.Evacuate(new DataCentreId(message.getEvacuate().getDataCentre()),
-					message.getEvacuate().getEvacuated());
+			case EVACUATE -> evacuation(message.getEvacuate());
 			default -> throw new IllegalArgumentException("a command of another version");
 		};
 	}
