Take only answers that name the request for answers to it

Cause: an answer that names no request counted as the answer to any, and the head of a second answer that was broken off was joined with the next answer on the connection: its status with the body and the seal of the other. Neither showed in logs or metrics.

Evidence: PlatformSecondAnswerTests before, 8 of 10 failed: 200 with the second answer's body, 200 with the body of the 500, a request that ran refused as not run. After: all pass.

Why it works: engines name the request that they answer, so one that names none or another is skipped, logged and counted, and its connection is not used again. Only errors that a VM states itself name no request, and count on links between VMs alone. What arrives on an idle connection closes it before it is decoded, and heads in which a header holds a status line fail the attempt. A request that goes to the same target again uses a new connection.

--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/AttemptFactory.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/AttemptFactory.java
@@ -42,6 +42,7 @@
 
 	private RoutedAttempt toTarget(TargetChoice choice, Admission admission, long nowNanos) {
 		countRepeat();
+		boolean sentBefore = this.request.attempts().triedTargets().contains(choice.target().id());
 		this.request.attempts().recordSend(choice.target().id());
 		this.request.recorder().placed(choice, admission);
 		if (choice.target().report().limit().isFinite()) {
@@ -49,7 +50,7 @@
 		}
 		PromptStart promptStart = this.context.quarantine().send(this.request.shape(), admission, nowNanos);
 		RoutedAttempt attempt = RoutedAttempt.toTarget(this.request,
-				this.context.targets().begin(choice, this.request.shape(), nowNanos), promptStart, choice);
+				this.context.targets().begin(choice, this.request.shape(), nowNanos), promptStart, choice, sentBefore);
 		if (choice.unreadTokens() >= LARGE_PROMPT_TOKENS) {
 			this.context.onLargeRequest().run();
 		}
--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/RoutedAttempt.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/RoutedAttempt.java
@@ -39,6 +39,9 @@
 
 	private final Optional<TargetAddress> copyFrom;
 
+	// for a target that had this request before, and may answer it twice
+	private final boolean freshConnection;
+
 	private final String destination;
 
 	private final ProgressMonitor progress;
@@ -62,13 +65,14 @@
 
 	private RoutedAttempt(RoutedRequest request, TargetAddress address, Optional<InFlightRequest> targetRequest,
 			Optional<PromptStart> promptStart, Optional<RemoteEntries.RemoteRequest> remoteRequest,
-			Optional<TargetAddress> copyFrom, String destination, long expectedMillis) {
+			Optional<TargetAddress> copyFrom, boolean freshConnection, String destination, long expectedMillis) {
 		this.request = request;
 		this.address = address;
 		this.targetRequest = targetRequest;
 		this.promptStart = promptStart;
 		this.remoteRequest = remoteRequest;
 		this.copyFrom = copyFrom;
+		this.freshConnection = freshConnection;
 		this.destination = destination;
 		this.progress = new ProgressMonitor(request.context().loop(), request.route(), expectedMillis, this::onStall);
 		this.failures = new AttemptFailureRecorder(request, targetRequest, remoteRequest);
@@ -77,17 +81,18 @@
 	}
 
 	static RoutedAttempt toTarget(RoutedRequest request, InFlightRequest inFlight, PromptStart promptStart,
-			TargetChoice choice) {
+			TargetChoice choice, boolean sentBefore) {
 		TargetId id = choice.target().id();
 		return new RoutedAttempt(request, choice.target().report().address(), Optional.of(inFlight),
 				Optional.of(promptStart), Optional.empty(),
-				choice.copyFrom().map((source) -> source.report().address()), id.value(), choice.waitMillis());
+				choice.copyFrom().map((source) -> source.report().address()), sentBefore, id.value(),
+				choice.waitMillis());
 	}
 
 	static RoutedAttempt toVm(RoutedRequest request, RemoteEntries.RemoteRequest inFlight, long expectedMillis) {
 		RemoteEntries.RemoteChoice choice = inFlight.choice();
 		return new RoutedAttempt(request, choice.address(), Optional.empty(), Optional.empty(), Optional.of(inFlight),
-				Optional.empty(), choice.vm().value(), expectedMillis);
+				Optional.empty(), false, choice.vm().value(), expectedMillis);
 	}
 
 	void start() {
@@ -97,8 +102,8 @@
 		String uri = this.request.request().path() + (query.isEmpty() ? "" : '?' + query);
 		this.handle = context.client()
 			.send(new TargetRequest(this.address, this.request.request().method(), uri, headers,
-					this.request.request().body(), false,
-					(response) -> context.protocol().isAnswerTo(response, this.request.id())), this);
+					this.request.request().body(), this.freshConnection,
+					new OwnResponseCheck(this.request, this.destination, target().isEmpty())), this);
 		this.progress.start();
 	}
 
@@ -199,45 +204,39 @@
 	public void onHead(AnswerHead head) {
 		this.remoteRequest.ifPresent(RemoteEntries.RemoteRequest::answered);
 		GatewayProtocol protocol = this.request.context().protocol();
-		if (this.remoteRequest.isPresent()) {
-			this.response = AttemptResponse.ofVm(head, protocol);
-			this.request.attempts().recordRemoteAnswer(this.remoteRequest.get().choice().vm(), head.headers());
-			head.headers().remove(HeaderNames.ANSWERING_TARGET);
-		}
-		else {
-			this.response = AttemptResponse.ofTarget(head, protocol);
-		}
+		this.response = this.remoteRequest.isPresent() ? AttemptResponse.ofVm(head, protocol)
+				: AttemptResponse.ofTarget(head, protocol);
+		this.remoteRequest.ifPresent(
+				(inFlight) -> this.request.attempts().recordRemoteAnswer(inFlight.choice().vm(), head.headers()));
+		head.headers().remove(HeaderNames.ANSWERING_TARGET);
 		if (this.request.isForwarded()) {
 			target().ifPresent((id) -> head.headers().set(HeaderNames.ANSWERING_TARGET, id.value()));
 		}
 		this.targetRequest
 			.ifPresent((inFlight) -> TargetStatements.apply(this.response.metadata(), inFlight, this.request));
-		if (isSuccess() && !this.response.metadata().signed()) {
+		if (this.response.isSuccess() && !this.response.metadata().signed()) {
 			this.handle.cancel();
 			abandon(AttemptFailure.abandoned("the success response has no signature"));
 			return;
 		}
-		if (isSuccess()) {
+		if (this.response.isSuccess()) {
 			this.targetRequest.ifPresent((inFlight) -> inFlight.answerStarted(System.nanoTime()));
 		}
 		if (this.request.handover().isReplacement(this)) {
 			this.unrelayedHead = head;
-			this.bodyDiscarded = !isSuccess() || this.response.metadata().encoded() || !this.response.isDeliverable();
+			this.bodyDiscarded = !this.response.isSuccess() || this.response.metadata().encoded()
+					|| !this.response.isDeliverable();
 			return;
 		}
 		this.bodyDiscarded = this.response.metadata().isUnprovenPromise();
-		if (!this.request.relay().isStarted() || isSuccess()) {
+		if (!this.request.relay().isStarted() || this.response.isSuccess()) {
 			this.request.relay().head(head);
 		}
 	}
 
-	private boolean isSuccess() {
-		return this.response.isSuccess();
-	}
-
 	@Override
 	public void onBody(ByteBuf data) {
-		if (this.bodyDiscarded || (this.request.relay().isStarted() && !isSuccess())) {
+		if (this.bodyDiscarded || (this.request.relay().isStarted() && !this.response.isSuccess())) {
 			data.release();
 			return;
 		}
@@ -279,11 +278,11 @@
 	private void recordProgress(long now) {
 		this.targetRequest.ifPresent((inFlight) -> inFlight.recordProgress(now));
 		boolean hasProgressed = this.progress.hasProgressed();
-		if (hasProgressed && isSuccess()) {
+		if (hasProgressed && this.response.isSuccess()) {
 			long pauseMillis = this.progress.silentMillis(now);
 			this.targetRequest.ifPresent((inFlight) -> inFlight.recordStreamPause(pauseMillis, now));
 		}
-		if (!hasProgressed && isSuccess()) {
+		if (!hasProgressed && this.response.isSuccess()) {
 			this.request.attempts().recordStart();
 			this.promptStart.ifPresent((start) -> start.answerBegan(now));
 		}
@@ -301,7 +300,7 @@
 		}
 		end();
 		long now = System.nanoTime();
-		if (this.response.metadata().notRun() || !isSuccess()) {
+		if (this.response.metadata().notRun() || !this.response.isSuccess()) {
 			this.promptStart.ifPresent(PromptStart::end);
 		}
 		if (this.response.remoteError().isPresent()) {
@@ -314,13 +313,13 @@
 					AttemptFailure.rejected("the target did not run the request, status " + this.response.status()));
 			return;
 		}
-		if (isSuccess() && this.response.metadata().encoded()) {
+		if (this.response.isSuccess() && this.response.metadata().encoded()) {
 			this.promptStart.ifPresent(PromptStart::end);
 			this.failures.targetFailed(false, now);
 			this.request.onAttemptFailed(this, AttemptFailure.failed("the response body has an unexpected encoding"));
 			return;
 		}
-		if (!isSuccess() && (this.bodyDiscarded || this.request.relay().isStarted()
+		if (!this.response.isSuccess() && (this.bodyDiscarded || this.request.relay().isStarted()
 				|| (this.response.status() >= 500 && this.request.mayOtherAttemptAnswer()))) {
 			this.targetRequest.ifPresent((inFlight) -> inFlight.answeredWithError(now));
 			if (!this.bodyDiscarded && !this.request.relay().isStarted()) {
@@ -335,7 +334,7 @@
 					() -> this.request.onAttemptFailed(this, failure));
 			return;
 		}
-		if (isSuccess()) {
+		if (this.response.isSuccess()) {
 			this.promptStart.ifPresent((start) -> start.answerBegan(now));
 		}
 		this.targetRequest.ifPresent((inFlight) -> {
--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/logging/EventKind.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/logging/EventKind.java
@@ -43,6 +43,8 @@
 	TARGET_PAUSED,
 	/** A target stated a limit on its requests, changed it or lifted it. */
 	TARGET_LIMITED,
+	/** A target sent a response that does not belong to the request in progress. */
+	STRAY_RESPONSE,
 	/** Requests broke off because a target's process has ended. */
 	TARGET_CRASHED,
 	/** Requests broke off at a target that has not ended or can't be reached. */
--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/pipeline/LocalAttempts.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/pipeline/LocalAttempts.java
@@ -44,8 +44,15 @@
 			headers.setInt(HeaderNames.RESUME_OFFSET, resumeOffset);
 		}
 		boolean newConnection = exchange.call().repeat() == Repeat.AT_MOST_ONCE;
-		return this.client.send(new TargetRequest(placement.target().address(), request.method(),
-				exchange.call().targetPath(), headers, request.body(), newConnection), listener);
+		return this.client.send(
+				new TargetRequest(placement.target().address(), request.method(), exchange.call().targetPath(), headers,
+						request.body(), newConnection, (response) -> isAnswerTo(response, exchange.id().value())),
+				listener);
+	}
+
+	// targets of contracts need not name the request
+	private static boolean isAnswerTo(HttpHeaders response, String requestId) {
+		return requestId.equals(response.get(HeaderNames.REQUEST_ID, requestId));
 	}
 
 }
--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/target/TargetClient.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/target/TargetClient.java
@@ -18,8 +18,8 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
-import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpDecoderConfig;
+import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.util.AttributeKey;
 import org.vanillatrestle.daemon.internal.pipeline.AttemptHandle;
 import org.vanillatrestle.daemon.internal.pipeline.AttemptListener;
@@ -82,8 +82,10 @@
 				protected void initChannel(SocketChannel channel) {
 					HttpDecoderConfig config = new HttpDecoderConfig().setMaxHeaderSize(MAX_HEAD_BYTES)
 						.setMaxChunkSize(MAX_CHUNK_BYTES);
-					channel.pipeline().addLast(new HttpClientCodec(config, false, false));
-					channel.pipeline().addLast(new TargetConnection(TargetClient.this));
+					TargetResponseDecoder decoder = new TargetResponseDecoder(config);
+					channel.pipeline().addLast(new HttpRequestEncoder());
+					channel.pipeline().addLast(decoder);
+					channel.pipeline().addLast(new TargetConnection(TargetClient.this, decoder));
 				}
 			});
 	}
--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/target/TargetConnection.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/target/TargetConnection.java
@@ -20,9 +20,11 @@
 /**
  * Passes the responses received on one connection to the attempt in progress.
  * <p>
- * At most one attempt uses the connection at a time. The attempt fails if the end of its
- * response can't be distinguished from a broken connection, or if too much data arrives
- * that belongs to no request. Used only on the VM's event loop.
+ * At most one attempt uses the connection at a time. Responses that belong to another
+ * request, or to none, are skipped, and the connection is not reused after them. The
+ * attempt fails if the end of its response can't be distinguished from a broken
+ * connection, if the parts of two responses are joined, or if too much data arrives that
+ * belongs to no request. Used only on the VM's event loop.
  */
 final class TargetConnection extends ChannelInboundHandlerAdapter {
 
@@ -44,31 +46,52 @@
 	 */
 	private static final int MAX_SKIPPED_BYTES = HttpLimits.DEFAULT.maxBodyBytes();
 
+	/**
+	 * A status line within a header: the head of another response was broken off there.
+	 */
+	private static final Pattern STATUS_LINE = Pattern.compile("HTTP/1\\.[01] \\d{3}( |$)");
+
+	/**
+	 * Maximum pause in the body of a skipped response.
+	 */
+	private static final long MAX_SKIP_PAUSE_MILLIS = 250;
+
 	private final TargetClient client;
 
+	private final TargetResponseDecoder decoder;
+
 	private TargetAttempt attempt;
 
 	private TargetRequest lastRequest;
 
 	private boolean keepAlive;
 
+	// whether a complete response has made the connection reusable, once all input that
+	// was received with it has been processed
+	private boolean reusable;
+
 	private boolean informational;
 
 	private boolean unrelated;
 
+	// whether the target has sent a response that does not belong to a request
+	private boolean outOfStep;
+
 	private int skippedResponses;
 
 	private long skippedBytes;
 
 	private long idleMillis = DEFAULT_IDLE_MILLIS;
 
-	TargetConnection(TargetClient client) {
+	TargetConnection(TargetClient client, TargetResponseDecoder decoder) {
 		this.client = client;
+		this.decoder = decoder;
 	}
 
 	void beginAttempt(TargetAttempt newAttempt) {
 		this.attempt = newAttempt;
 		this.lastRequest = newAttempt.request();
+		this.decoder.expectResponse(this.lastRequest.method());
 		this.skippedResponses = 0;
 		this.skippedBytes = 0;
 	}
@@ -86,22 +109,28 @@
 			return;
 		}
 		if (message instanceof HttpResponse response) {
-			readHead(response);
+			readHead(context, response);
 		}
 		if (message instanceof HttpContent content) {
 			readContent(context, content);
 		}
 	}
 
-	private void readHead(HttpResponse response) {
+	private void readHead(ChannelHandlerContext context, HttpResponse response) {
+		if (hasStatusLineInHeader(response)) {
+			this.attempt.fail("the heads of two responses of the target are joined");
+			return;
+		}
 		this.informational = response.status().codeClass() == HttpStatusClass.INFORMATIONAL;
 		this.unrelated = !this.informational && !this.lastRequest.isOwnResponse().test(response.headers());
 		if (this.informational || this.unrelated) {
+			this.outOfStep |= this.unrelated;
 			this.skippedResponses++;
 			failIfSkipLimitExceeded();
+			failIfSkipStalls(context);
 			return;
 		}
-		this.keepAlive = HttpUtil.isKeepAlive(response);
+		this.keepAlive = HttpUtil.isKeepAlive(response) && !this.outOfStep;
 		this.idleMillis = idleMillis(response.headers().get(KEEP_ALIVE));
 		if (!this.client.isCloseDelimitedAllowed() && !hasKnownEnd(response)) {
 			this.attempt.fail("the response has neither a content length nor chunked encoding, so its end is unknown");
@@ -110,12 +139,37 @@
 		this.attempt.receiveHead(response);
 	}
 
+	private static boolean hasStatusLineInHeader(HttpResponse response) {
+		return response.headers()
+			.entries()
+			.stream()
+			.anyMatch((header) -> STATUS_LINE.matcher(header.getValue()).find());
+	}
+
 	private void failIfSkipLimitExceeded() {
 		if (this.skippedResponses > MAX_SKIPPED_RESPONSES || this.skippedBytes > MAX_SKIPPED_BYTES) {
 			this.attempt.fail("the target sends what answers no request");
 		}
 	}
 
+	// a response that was broken off takes the bytes of the next one for its own
+	private void failIfSkipStalls(ChannelHandlerContext context) {
+		TargetAttempt skippedBefore = this.attempt;
+		int responses = this.skippedResponses;
+		long bytes = this.skippedBytes;
+		context.executor().schedule(() -> {
+			if (this.attempt != skippedBefore || skippedBefore == null || !this.unrelated
+					|| this.skippedResponses != responses) {
+				return;
+			}
+			if (this.skippedBytes == bytes) {
+				this.attempt.fail("a response of the target to another request does not end");
+				return;
+			}
+			failIfSkipStalls(context);
+		}, MAX_SKIP_PAUSE_MILLIS, TimeUnit.MILLISECONDS);
+	}
+
 	private static long idleMillis(String keepAliveHeader) {
 		if (keepAliveHeader == null) {
 			return DEFAULT_IDLE_MILLIS;
@@ -160,13 +214,29 @@
 			context.close();
 			return;
 		}
-		if (this.keepAlive) {
+		this.reusable = this.keepAlive;
+		if (!this.reusable) {
+			context.close();
+		}
+		completedAttempt.complete();
+	}
+
+	@Override
+	public void channelReadComplete(ChannelHandlerContext context) {
+		if (this.reusable) {
+			this.reusable = false;
+			park(context);
+		}
+		context.fireChannelReadComplete();
+	}
+
+	private void park(ChannelHandlerContext context) {
+		if (this.decoder.tryPark()) {
 			this.client.putIdle(this.lastRequest.address(), context.channel(), this.idleMillis);
 		}
 		else {
 			context.close();
 		}
-		completedAttempt.complete();
 	}
 
 	@Override
--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/protocol/GatewayProtocol.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/protocol/GatewayProtocol.java
@@ -38,10 +38,11 @@
 	AnswerMetadata readAnswer(AnswerHead head);
 
 	/**
-	 * Tells whether an answer belongs to a request.
+	 * Tells whether an answer of a target belongs to a request.
 	 * @param answer the answer's headers
 	 * @param requestId the request's id, {@code null} if it has none
-	 * @return false if the answer names another request
+	 * @return whether the answer names this request and no other one, or the request has
+	 * no id
 	 */
 	boolean isAnswerTo(HttpHeaders answer, String requestId);
 
