Wait in a test until the drain has told the loop to stop

Cause: the test gave the drain 100 ms to queue its stop behind the blocked loop. On a busy machine the thread had not run by then, so that the loop read the request before the stop and served it, which is allowed.

--- a/vanillatrestle-daemon/src/test/java/org/vanillatrestle/daemon/internal/http/ServerDrainTests.java
+++ b/vanillatrestle-daemon/src/test/java/org/vanillatrestle/daemon/internal/http/ServerDrainTests.java
@@ -59,7 +59,7 @@
 			try (Socket fresh = connect()) {
 				send(kept);
 				send(fresh);
-				TimeUnit.MILLISECONDS.sleep(100);
+				awaitStopQueued(drain);
 				sent.countDown();
 				assertThat(answer(kept)).startsWith("HTTP/1.1 503 ").contains("\"NOT_RUN\"");
 				assertThat(answer(fresh)).startsWith("HTTP/1.1 503 ").contains("\"NOT_RUN\"");
@@ -69,6 +69,14 @@
 		}
 	}
 
+	// the drain waits for the loop, without a time, once it has told it to stop
+	private static void awaitStopQueued(Thread drain) throws InterruptedException {
+		while (drain.getState() != Thread.State.WAITING) {
+			assertThat(drain.isAlive()).isTrue();
+			TimeUnit.MILLISECONDS.sleep(1);
+		}
+	}
+
 	private static void await(CountDownLatch latch) {
 		try {
 			latch.await();
