--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/declared/DeclarationCalls.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/declared/DeclarationCalls.java
@@ -32,9 +32,10 @@
 	private static final int CALL_TIMEOUT_MILLIS = 900;
 
 	/**
-	 * Timeout of a call to the leader for an order that is first held back for a moment.
+	 * Timeout of a call to the leader for an evacuation order, which may have been held
+	 * back before.
 	 */
-	private static final int HELD_BACK_CALL_TIMEOUT_MILLIS = 700;
+	private static final int EVACUATION_CALL_TIMEOUT_MILLIS = 700;
 
 	private final VmId self;
 
@@ -81,10 +82,10 @@
 		if (leader.isEmpty()) {
 			return CompletableFuture.completedFuture(Optional.empty());
 		}
-		boolean heldBack = command.filter(DeclarationCommand.Evacuate.class::isInstance).isPresent();
+		boolean isEvacuation = command.filter(DeclarationCommand.Evacuate.class::isInstance).isPresent();
 		return this.links.get()
 			.call(leader.get(), DeclarationCodec.encodeCall(command),
-					heldBack ? HELD_BACK_CALL_TIMEOUT_MILLIS : CALL_TIMEOUT_MILLIS)
+					isEvacuation ? EVACUATION_CALL_TIMEOUT_MILLIS : CALL_TIMEOUT_MILLIS)
 			.handle((reply, failure) -> (failure != null) ? Optional.empty() : decodeReplyOrEmpty(reply));
 	}
 
--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/http/CallerConnection.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/http/CallerConnection.java
@@ -47,9 +47,8 @@
 	private static final int MAX_PIPELINED_PARTS = 32;
 
 	/**
-	 * Maximum time to wait for the peer to close the connection after the last answer, a
-	 * few round trips between regions. A socket closed with unread input is reset, which
-	 * may destroy an answer that the peer has not read yet.
+	 * Maximum time to wait for the peer to close the connection after the last answer. A
+	 * socket closed with unread input is reset, which may destroy an unread answer.
 	 */
 	private static final long LINGER_MILLIS = 500;
 
