Show which VM sent a declared state and which entry VMs are behind

The record of the incident could not tell who sent a state to an entry VM, that an entry VM was behind and since when, or which version refused a request.

Metrics: declared_version and declared_lag_seconds. - A refusal without a route names the version that decided it.

Sending states moves from ControlFleet into StateDistributor and is unchanged.

--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/fleet/ControlFleet.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/fleet/ControlFleet.java
@@ -18,7 +18,6 @@
 import org.vanillatrestle.internal.declaration.DeclaredState;
 import org.vanillatrestle.internal.fleet.EntryReport;
 import org.vanillatrestle.internal.fleet.EntryReportSelector;
-import org.vanillatrestle.internal.fleet.StatePushScheduler;
 import org.vanillatrestle.internal.fleet.TargetReport;
 import org.vanillatrestle.internal.fleet.TargetTable;
 import org.vanillatrestle.internal.log.VmLocation;
@@ -69,11 +68,7 @@
 
 	private final Map<VmId, VmLocation> controlVms = new HashMap<>();
 
-	private final StatePushScheduler statePushes = new StatePushScheduler();
-
-	private final Map<VmId, Integer> ranks = new HashMap<>();
-
-	private byte[] encodedState = new byte[0];
+	private final StateDistributor distributor;
 
 	private final LoadExchange loads;
 
@@ -87,6 +82,8 @@
 
 	private long heartbeatCount;
 
+	private volatile int entriesBehind;
+
 	/**
 	 * Creates the exchange.
 	 * @param links the links to other VMs
@@ -98,6 +95,7 @@
 		this.loop = loop;
 		this.replica = replica;
 		this.loads = new LoadExchange(links, loop);
+		this.distributor = new StateDistributor(links);
 		this.controlVms.putAll(links.ownLocation());
 	}
 
@@ -114,6 +112,7 @@
 		Set<VmId> following = this.followers.currentFollowers(now);
 		byte[] plain = encodeHeartbeat(List.of());
 		byte[] withEntries = encodeHeartbeat(this.entrySelector.selectNext(this.entries.liveReports(now)));
+		this.entriesBehind = this.distributor.countBehind(now);
 		this.heartbeatCount++;
 		for (PeerIdentity peer : this.links.allPeers()) {
 			if (following.contains(peer.vm())) {
@@ -191,16 +190,7 @@
 		this.state = changed;
 		EventLog.write(EventKind.DECLARED, "version", changed.version(), "index", changed.index(), "evacuated",
 				changed.evacuated());
-		this.encodedState = FleetLinks.encode(new FleetNews.Declared(changed));
-		long now = System.nanoTime();
-		this.statePushes.stateChanged(changed.index(), now);
-		this.ranks.forEach((vm, rank) -> pushState(vm, rank, 0));
-	}
-
-	private void pushState(VmId vm, int rank, long knownIndex) {
-		if (this.statePushes.isDue(vm, rank, knownIndex, System.nanoTime())) {
-			this.links.send(vm, this.encodedState);
-		}
+		this.distributor.update(changed, System.nanoTime());
 	}
 
 	/**
@@ -242,6 +232,15 @@
 		return this.entries.liveReports(System.nanoTime());
 	}
 
+	/**
+	 * Returns the number of connected entry VMs that have lacked a declared state for
+	 * longer than a state takes to spread. May be called by any thread.
+	 * @return their number
+	 */
+	public int entriesBehind() {
+		return this.entriesBehind;
+	}
+
 	@Override
 	public void connected(PeerIdentity peer, boolean control) {
 		VmLocation location = new VmLocation(peer.region(), peer.dataCentre());
@@ -254,18 +253,17 @@
 
 	@Override
 	public void disconnected(PeerIdentity peer) {
-		this.statePushes.remove(peer.vm());
-		this.ranks.remove(peer.vm());
+		this.distributor.remove(peer.vm());
 		this.loads.remove(peer.vm());
 	}
 
 	@Override
 	public void onNews(VmId sender, FleetNews news) {
 		if (news instanceof FleetNews.EntryBeat beat) {
-			this.entries.update(beat.entry(), System.nanoTime());
-			this.followers.update(sender, Followers.isFollowedRank(beat.rank()), System.nanoTime());
-			this.ranks.put(sender, beat.rank());
-			pushState(sender, beat.rank(), beat.declaredIndex());
+			long now = System.nanoTime();
+			this.entries.update(beat.entry(), now);
+			this.followers.update(sender, Followers.isFollowedRank(beat.rank()), now);
+			this.distributor.update(sender, beat, now);
 		}
 		else if (news instanceof FleetNews.EntryLoads entryLoads) {
 			this.links.peer(sender).ifPresent((peer) -> this.loads.update(peer, entryLoads));
--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/fleet/EntryFleet.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/fleet/EntryFleet.java
@@ -7,10 +7,13 @@
 import io.netty.channel.EventLoop;
 import org.vanillatrestle.TargetId;
 import org.vanillatrestle.VmId;
+import org.vanillatrestle.daemon.internal.logging.EventKind;
+import org.vanillatrestle.daemon.internal.logging.EventLog;
 import org.vanillatrestle.internal.declaration.DeclaredState;
 import org.vanillatrestle.internal.fleet.EntryReport;
 import org.vanillatrestle.internal.fleet.InFlightLoad;
 import org.vanillatrestle.internal.fleet.LoadUpdateScheduler;
+import org.vanillatrestle.internal.fleet.StateLagTracker;
 import org.vanillatrestle.internal.fleet.TargetReport;
 import org.vanillatrestle.internal.fleet.TargetTable;
 import org.vanillatrestle.internal.quarantine.SuspectListener;
@@ -38,6 +41,8 @@
 	 */
 	private static final long LOADS_EXPIRY_NANOS = TimeUnit.MILLISECONDS.toNanos(2_000);
 
+	private static final double NANOS_PER_SECOND = 1e9;
+
 	private final FleetLinks links;
 
 	private final EventLoop loop;
@@ -52,6 +57,12 @@
 
 	private DeclaredState state = DeclaredState.NONE;
 
+	private final StateLagTracker lag = new StateLagTracker();
+
+	private boolean loggedBehind;
+
+	private volatile double lagSeconds;
+
 	private final LoadUpdateScheduler loadUpdates = new LoadUpdateScheduler(System.nanoTime());
 
 	private long heartbeatCount;
@@ -84,11 +95,38 @@
 
 	private void tick() {
 		this.links.refreshConnections();
-		this.changeListener.entriesChanged(this.entries.liveReports(System.nanoTime()));
+		long now = System.nanoTime();
+		this.changeListener.entriesChanged(this.entries.liveReports(now));
+		updateLag(now);
 		this.heartbeatCount++;
 		sendHeartbeat(Followers.isSentToNonFollowers(this.heartbeatCount));
 	}
 
+	private void updateLag(long now) {
+		this.lagSeconds = this.lag.lagNanos(now) / NANOS_PER_SECOND;
+		boolean behind = this.lag.isBehind(now);
+		if (behind && !this.loggedBehind) {
+			List<PeerIdentity> nearest = this.links.nearestControlPeers();
+			EventLog.write(EventKind.DECLARED_BEHIND, "index", this.state.index(), "newestIndex",
+					this.lag.newestIndex(), "lagMillis", TimeUnit.NANOSECONDS.toMillis(this.lag.lagNanos(now)),
+					"controlIndexes", nearest.stream().map(this::describeIndex).toList());
+		}
+		this.loggedBehind = behind;
+	}
+
+	private String describeIndex(PeerIdentity controlVm) {
+		return controlVm.vm() + ":" + this.lag.indexOf(controlVm.vm());
+	}
+
+	/**
+	 * Returns for how long this VM has lacked a declared state that a control VM has. May
+	 * be called by any thread.
+	 * @return the time in seconds, 0 if this VM has the newest state that it knows of
+	 */
+	public double lagSeconds() {
+		return this.lagSeconds;
+	}
+
 	/**
 	 * Sends a heartbeat to all connected control VMs immediately.
 	 */
@@ -202,7 +240,10 @@
 
 	@Override
 	public void disconnected(PeerIdentity peer) {
-		// the peer's last reports stay valid until another VM sends newer ones
+		// the reports of entry VMs and targets that the peer sent stay valid until
+		// another
+		// VM sends newer ones
+		this.lag.remove(peer.vm());
 	}
 
 	@Override
@@ -211,6 +252,7 @@
 		if (news instanceof FleetNews.ControlBeat beat) {
 			beat.controlAddresses().forEach(this.links::connectTo);
 			beat.entries().forEach((entry) -> this.entries.update(entry, now));
+			this.lag.report(sender, beat.declaredIndex(), now);
 		}
 		else if (news instanceof FleetNews.RegionLoads regionLoads) {
 			this.loadsUpdatedNanos = now;
@@ -228,8 +270,9 @@
 		}
 		else if (news instanceof FleetNews.Declared declared && declared.state().index() > this.state.index()
 				&& declared.state().version() >= this.state.version()) {
-			if (this.changeListener.applyDeclaredState(declared.state())) {
+			if (this.changeListener.applyDeclaredState(declared.state(), sender)) {
 				this.state = declared.state();
+				this.lag.apply(this.state.index(), now);
 			}
 		}
 	}
@@ -260,9 +303,10 @@
 		/**
 		 * Called when a newer declared state has arrived.
 		 * @param state the state
+		 * @param sender the control VM that sent it
 		 * @return whether it is in force now
 		 */
-		boolean applyDeclaredState(DeclaredState state);
+		boolean applyDeclaredState(DeclaredState state, VmId sender);
 
 		/**
 		 * Returns this VM's in-flight loads.
--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/ControlVm.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/ControlVm.java
@@ -135,6 +135,7 @@
 		this.metrics.gauge("log.index", () -> this.replica.status().lastIndex());
 		this.metrics.gauge("log.applied.index", () -> this.replica.status().appliedIndex());
 		this.metrics.gauge("declared.version", () -> this.declaration.map(Declaration::version).orElse(0L));
+		this.metrics.gauge("entries.behind", this.fleet::entriesBehind);
 	}
 
 	// A snapshot contains only committed entries, so that a restarted VM can publish its
--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/EntryVm.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/EntryVm.java
@@ -176,6 +176,8 @@
 		this.forwardServer.listen(forwardAddress());
 		this.telemetry.gauge("vanillatrestle.gateway.connections", this.callerServer::connectionCount);
 		this.telemetry.gauge("vanillatrestle.gateway.data.centre.vms", () -> this.dataCentreVmCount);
+		this.telemetry.gauge("vanillatrestle.gateway.declared.version", this.dispatcher::declaredVersion);
+		this.telemetry.gauge("vanillatrestle.gateway.declared.lag.seconds", this.fleet::lagSeconds);
 		this.loop.execute(this.fleet::start);
 		this.loop.scheduleAtFixedRate(this::housekeep, HOUSEKEEPING_PERIOD_MILLIS, HOUSEKEEPING_PERIOD_MILLIS,
 				TimeUnit.MILLISECONDS);
@@ -266,7 +268,7 @@
 	}
 
 	@Override
-	public boolean applyDeclaredState(DeclaredState state) {
+	public boolean applyDeclaredState(DeclaredState state, VmId sender) {
 		try {
 			if (state.isDeclared()) {
 				Declaration declaration = this.protocol.readDeclaration(state.document());
@@ -274,13 +276,13 @@
 			}
 		}
 		catch (InvalidDocumentException ex) {
-			EventLog.write(EventKind.DECLARED, "version", state.version(), "index", state.index(), "failure",
-					ex.getMessage());
+			EventLog.write(EventKind.DECLARED, "version", state.version(), "index", state.index(), "from", sender,
+					"failure", ex.getMessage());
 			return false;
 		}
 		this.targets.setEvacuated(state.evacuated(), this.dispatcher.coldStartMillis(), System.nanoTime());
-		EventLog.write(EventKind.DECLARED, "version", state.version(), "index", state.index(), "evacuated",
-				state.evacuated());
+		EventLog.write(EventKind.DECLARED, "version", state.version(), "index", state.index(), "from", sender,
+				"evacuated", state.evacuated());
 		return true;
 	}
 
--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/RequestDispatcher.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/gateway/RequestDispatcher.java
@@ -27,7 +27,7 @@
 /**
  * Accepts requests on declared routes, from callers and from other VMs.
  * <p>
- * Used only on the VM's event loop.
+ * Used only on the VM's event loop, except for {@link #declaredVersion()}.
  */
 public final class RequestDispatcher {
 
@@ -35,7 +35,7 @@
 
 	private final HeldRequests heldRequests;
 
-	private Declaration declaration;
+	private volatile Declaration declaration;
 
 	private RouteTable routes;
 
@@ -69,6 +69,15 @@
 		return this.declaration != null;
 	}
 
+	/**
+	 * Returns the version of the declaration in force. May be called by any thread.
+	 * @return the version, 0 if there is none
+	 */
+	long declaredVersion() {
+		Declaration current = this.declaration;
+		return (current != null) ? current.version() : 0;
+	}
+
 	List<DeclaredService> services() {
 		return isDeclared() ? List.copyOf(this.declaration.services().values()) : List.of();
 	}
@@ -174,7 +183,9 @@
 		long retryMillis = (error.status() == 503) ? StartupWait.retryMillis(this.context.uptimeMillis()) : -1;
 		error.respondUnsent(sink, retryMillis, forwarded);
 		this.context.telemetry().recordCompletion("none", EventKind.REFUSED, error.name(), 0);
-		this.context.telemetry().log(EventKind.REFUSED, "request", details.requestId(), "reason", error.name());
+		this.context.telemetry()
+			.log(EventKind.REFUSED, "request", details.requestId(), "reason", error.name(), "version",
+					declaredVersion());
 		return null;
 	}
 
--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/logging/EventKind.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/logging/EventKind.java
@@ -31,6 +31,13 @@
 	STORAGE_REOPENED,
 	/** A declared state took effect on this VM. */
 	DECLARED,
+	/** This VM has lacked a declared state for some time that a control VM has. */
+	DECLARED_BEHIND,
+	/**
+	 * A declared state was sent to an entry VM that no nearer control VM has kept up to
+	 * date.
+	 */
+	DECLARED_SENT,
 	/** An operator's request was answered. */
 	OPERATOR_CALL,
 	/** A target's report changed the state that this VM has recorded for it. */
