Add failing tests: an entry VM gets no state during a series of changes

A control VM that is not the nearest waits a second per rank before it sends a state, and each change starts the wait again. While changes come less than a second apart and the nearest control VM lags, an entry VM gets no state at all.

StatePushSchedulerTests shows the decision alone, with gaps of 50 to 999 ms.

--- a/vanillatrestle-core/src/test/java/org/vanillatrestle/internal/fleet/StatePushSchedulerTests.java
+++ b/vanillatrestle-core/src/test/java/org/vanillatrestle/internal/fleet/StatePushSchedulerTests.java
@@ -2,7 +2,10 @@
 
 import java.util.concurrent.TimeUnit;
 
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 import org.vanillatrestle.VmId;
 
 import static org.assertj.core.api.Assertions.assertThat;
@@ -58,6 +61,20 @@
 		assertThat(this.scheduler.isDue(ENTRY, 0, 0, millis(100))).isTrue();
 	}
 
+	// Each change used to start the wait of the other control VMs again.
+	@ParameterizedTest
+	@Tag("known-red")
+	@ValueSource(longs = { 50, 250, 500, 999 })
+	void shouldTakeOverFromLaggingControlVmDuringChangesInSeries(long gapMillis) {
+		long firstIndex = 5;
+		boolean due = false;
+		for (long i = 0; i * gapMillis <= 1_000 && !due; i++) {
+			this.scheduler.stateChanged(firstIndex + i, millis(i * gapMillis));
+			due = this.scheduler.isDue(ENTRY, 1, firstIndex - 1, millis((i + 1) * gapMillis));
+		}
+		assertThat(due).isTrue();
+	}
+
 	private static long millis(long millis) {
 		return TimeUnit.MILLISECONDS.toNanos(millis);
 	}
