Let distant control VMs step in early enough for the bound of 3 s

What callers would see: a change in force after more than 3 s where the three nearest of seven or more control VMs lag, or two of five and one copy is lost. Found by looking for the same cause elsewhere; not seen by users.

Cause: the control VMs from the fourth on waited 3 s, and the entry VM's next heartbeat, up to half a second away, and the transit come on top of that.

Change: a rank is 0.8 s, still three heartbeats, and all control VMs from the third on wait two ranks.

Evidence: with up to nine control VMs and a lagging minority StatePushPropertyTests failed before (3.46 s; 3.44 s with one copy lost) and passes now.

--- a/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/fleet/StatePushScheduler.java
+++ b/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/fleet/StatePushScheduler.java
@@ -26,7 +26,7 @@
 	 * heartbeats, in which the entry VM reports that a nearer control VM has sent the
 	 * state.
 	 */
-	private static final long DELAY_PER_RANK_NANOS = TimeUnit.MILLISECONDS.toNanos(1_000);
+	private static final long DELAY_PER_RANK_NANOS = TimeUnit.MILLISECONDS.toNanos(800);
 
 	/**
 	 * The same delay for an entry VM that has no state at all and therefore cannot serve
@@ -34,7 +34,11 @@
 	 */
 	private static final long FIRST_STATE_DELAY_PER_RANK_NANOS = TimeUnit.MILLISECONDS.toNanos(400);
 
-	private static final int MAX_DELAYED_RANK = 3;
+	/**
+	 * All control VMs beyond this rank wait as long as the one of this rank, so that a
+	 * change takes effect within 3 s although all nearer ones lag.
+	 */
+	private static final int MAX_DELAYED_RANK = 2;
 
 	/**
 	 * How long a copy may take to arrive: the time for the largest state seen,
