Let only orders for the same data centre overtake an evacuation

What operators saw: 503 for an evacuation, or its end, and another round of calls while declarations change every few hundred milliseconds.

Cause: an order has an effect only on the state whose index it names, so that a stale order can't undo a later one. A declaration changes the index as well. A VM that doesn't lead proposes once in two round trips, and loses to each change in between; the whole wait starts again.

Change: the leader remembers when each data centre's evacuation was last ordered (EvacuationOrderLog) and takes an order over to its newest state if that was not since the order's own state, up to four times. Orders that were not acknowledged don't count. Commands and stored data keep their format and meaning, so that replicas of both builds agree. After the restart of a replica, orders from before it are compared as until now.

--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/declared/DeclaredReplica.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/declared/DeclaredReplica.java
@@ -20,6 +20,7 @@
 import org.vanillatrestle.daemon.internal.storage.OpenMode;
 import org.vanillatrestle.internal.declaration.DeclarationCommand;
 import org.vanillatrestle.internal.declaration.DeclaredState;
+import org.vanillatrestle.internal.declaration.EvacuationOrderLog;
 import org.vanillatrestle.internal.log.LogStatus;
 import org.vanillatrestle.internal.log.Role;
 import org.vanillatrestle.internal.log.StateMachine;
@@ -40,6 +41,12 @@
 	 */
 	public static final String FOLDER = "declared";
 
+	/**
+	 * How often an evacuation order is proposed in all. A proposal takes a round trip
+	 * between control VMs, and a caller waits for several of them.
+	 */
+	private static final int MAX_PROPOSALS_PER_ORDER = 4;
+
 	private final VmId vm;
 
 	private final Path folder;
@@ -146,12 +153,29 @@
 	}
 
 	/**
-	 * Proposes a change, if this replica leads.
+	 * Proposes a change, if this replica leads. An evacuation order is proposed again
+	 * after unrelated changes, which would otherwise keep it from taking effect for as
+	 * long as they go on.
 	 * @param command the change
 	 * @return the state after the change, or empty if it was not accepted or its outcome
 	 * is unknown
 	 */
 	public CompletableFuture<Optional<DeclaredState>> propose(DeclarationCommand command) {
+		return (command instanceof DeclarationCommand.Evacuate order) ? proposeOrder(order, MAX_PROPOSALS_PER_ORDER)
+				: proposeOnce(command);
+	}
+
+	private CompletableFuture<Optional<DeclaredState>> proposeOrder(DeclarationCommand.Evacuate order,
+			int proposalsLeft) {
+		NotifyingStateMachine applied = this.machine;
+		return proposeOnce(applied.orders.rebase(order, applied.published)).thenCompose((state) -> {
+			boolean isDone = state.isEmpty() || state.get().isEvacuated(order.dataCentre(), order.evacuated());
+			return (isDone || proposalsLeft == 1 || applied.orders.isOvertaken(order))
+					? CompletableFuture.completedFuture(state) : proposeOrder(order, proposalsLeft - 1);
+		});
+	}
+
+	private CompletableFuture<Optional<DeclaredState>> proposeOnce(DeclarationCommand command) {
 		ReplicaHost current = this.host;
 		NotifyingStateMachine applied = this.machine;
 		if (current.status().membership().voters().size() < this.minVoters) {
@@ -217,7 +241,11 @@
 	 */
 	private final class NotifyingStateMachine implements StateMachine {
 
-		private final DeclarationStateMachine applied = new DeclarationStateMachine();
+		private final EvacuationOrderLog orders = new EvacuationOrderLog();
+
+		private final DeclarationStateMachine applied = new DeclarationStateMachine(this.orders);
+
+		private volatile DeclaredState published = DeclaredState.NONE;
 
 		DeclaredState state() {
 			return this.applied.state();
@@ -245,6 +273,7 @@
 
 		private void notifyIfChanged(DeclaredState before) {
 			if (this.applied.state() != before) {
+				this.published = this.applied.state();
 				DeclaredReplica.this.knownState = this.applied.state();
 				DeclaredReplica.this.changes.accept(this.applied.state());
 			}
--- a/vanillatrestle-wire/src/main/java/org/vanillatrestle/wire/DeclarationStateMachine.java
+++ b/vanillatrestle-wire/src/main/java/org/vanillatrestle/wire/DeclarationStateMachine.java
@@ -1,6 +1,8 @@
 package org.vanillatrestle.wire;
 
+import org.vanillatrestle.internal.declaration.DeclarationCommand;
 import org.vanillatrestle.internal.declaration.DeclaredState;
+import org.vanillatrestle.internal.declaration.EvacuationOrderLog;
 import org.vanillatrestle.internal.log.StateMachine;
 
 /**
@@ -12,8 +14,18 @@
 
 	private static final byte[] NO_REPLY = new byte[0];
 
+	private final EvacuationOrderLog orders;
+
 	private DeclaredState state = DeclaredState.NONE;
 
+	/**
+	 * Creates a state machine without any state.
+	 * @param orders records the evacuation orders that are applied
+	 */
+	public DeclarationStateMachine(EvacuationOrderLog orders) {
+		this.orders = orders;
+	}
+
 	/**
 	 * Returns the state after the last command applied.
 	 * @return the state
@@ -25,7 +37,10 @@
 	@Override
 	public byte[] apply(long index, byte[] command) {
 		try {
-			this.state = this.state.after(index, DeclarationCodec.decodeCommand(command));
+			DeclarationCommand decoded = DeclarationCodec.decodeCommand(command);
+			DeclaredState after = this.state.after(index, decoded);
+			this.orders.apply(index, decoded, after);
+			this.state = after;
 			return NO_REPLY;
 		}
 		catch (MalformedMessageException ex) {
@@ -41,6 +56,7 @@
 	@Override
 	public void restore(long index, byte[] snapshot) {
 		try {
+			this.orders.restore(index);
 			this.state = (snapshot.length == 0) ? DeclaredState.NONE : DeclarationCodec.decodeState(snapshot);
 		}
 		catch (MalformedMessageException ex) {
