--- a/vanillatrestle-core/src/test/java/org/vanillatrestle/internal/fleet/StatePushSchedulerTests.java
+++ b/vanillatrestle-core/src/test/java/org/vanillatrestle/internal/fleet/StatePushSchedulerTests.java
@@ -73,6 +73,18 @@
 		assertThat(due).isTrue();
 	}
 
+	// An entry VM that starts meanwhile serves nothing until it has a state.
+	@ParameterizedTest
+	@ValueSource(longs = { 50, 150, 399 })
+	void shouldSendFirstStateFromSecondControlVmDuringChangesInSeries(long gapMillis) {
+		boolean due = false;
+		for (long i = 0; i * gapMillis <= 400 && !due; i++) {
+			this.scheduler.stateChanged(5 + i, millis(i * gapMillis));
+			due = this.scheduler.isDue(ENTRY, 1, 0, millis((i + 1) * gapMillis));
+		}
+		assertThat(due).isTrue();
+	}
+
 	private static long millis(long millis) {
 		return TimeUnit.MILLISECONDS.toNanos(millis);
 	}
--- a/vanillatrestle-core/src/test/java/org/vanillatrestle/internal/log/ReplicatedLogTests.java
+++ b/vanillatrestle-core/src/test/java/org/vanillatrestle/internal/log/ReplicatedLogTests.java
@@ -91,6 +91,26 @@
 		group.checkRecovery(3);
 	}
 
+	// A snapshot in many chunks must not start over with each newer snapshot.
+	@Test
+	void shouldCatchUpByItsSnapshotWhileChangesGoOn() {
+		SimulatedGroup group = formedGroup(3);
+		SimulatedReplica follower = follower(group);
+		group.isolate(follower);
+		group.commit(100);
+		long behindIndex = group.status(follower).appliedIndex();
+		group.reconnectAll();
+		boolean caughtUp = false;
+		for (int i = 0; i < 400 && !caughtUp; i++) {
+			group.propose();
+			group.runFor(40);
+			caughtUp = group.status(group.leader().orElseThrow()).appliedIndex()
+					- group.status(follower).appliedIndex() < 5;
+		}
+		assertThat(caughtUp).isTrue();
+		assertThat(group.status(follower).snapshotIndex()).as("took a snapshot").isGreaterThan(behindIndex);
+	}
+
 	@Test
 	void shouldAskToJoinAgainWhenItsAdmissionWasTruncated() {
 		SimulatedGroup group = formedGroup(5);
