--- a/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/declaration/EvacuationOrderLog.java
+++ b/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/declaration/EvacuationOrderLog.java
@@ -51,8 +51,10 @@
 	 * @return the order for the current state, or the order itself if it was overtaken
 	 */
 	public DeclarationCommand.Evacuate rebase(DeclarationCommand.Evacuate order, DeclaredState current) {
-		return isOvertaken(order) ? order : new DeclarationCommand.Evacuate(order.dataCentre(), order.evacuated(),
-				OptionalLong.of(current.index()));
+		if (isOvertaken(order) || order.expectedIndex().getAsLong() >= current.index()) {
+			return order;
+		}
+		return new DeclarationCommand.Evacuate(order.dataCentre(), order.evacuated(), OptionalLong.of(current.index()));
 	}
 
 	/**
--- a/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/fleet/StateLagTracker.java
+++ b/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/fleet/StateLagTracker.java
@@ -2,7 +2,6 @@
 
 import java.util.HashMap;
 import java.util.Map;
-import java.util.concurrent.TimeUnit;
 
 import org.vanillatrestle.VmId;
 
@@ -15,11 +14,6 @@
  */
 public final class StateLagTracker {
 
-	/**
-	 * A lag beyond this is no longer explained by the time that a state takes to spread.
-	 */
-	private static final long BEHIND_NANOS = TimeUnit.MILLISECONDS.toNanos(1_500);
-
 	private final StateTimeline timeline = new StateTimeline();
 
 	private final Map<VmId, Long> controlIndexes = new HashMap<>();
@@ -70,7 +64,7 @@
 	 * @return whether this VM is behind
 	 */
 	public boolean isBehind(long nowNanos) {
-		return lagNanos(nowNanos) > BEHIND_NANOS;
+		return this.timeline.isBehind(this.ownIndex, nowNanos);
 	}
 
 	/**
--- a/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/fleet/StatePushScheduler.java
+++ b/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/fleet/StatePushScheduler.java
@@ -101,6 +101,17 @@
 		return this.timeline.lagNanos(knownIndex, nowNanos);
 	}
 
+	/**
+	 * Returns whether an entry VM has lacked a state for longer than a state takes to
+	 * spread.
+	 * @param knownIndex the index of the state that the entry VM has
+	 * @param nowNanos the monotonic time
+	 * @return whether the entry VM is behind
+	 */
+	public boolean isBehind(long knownIndex, long nowNanos) {
+		return this.timeline.isBehind(knownIndex, nowNanos);
+	}
+
 	/**
 	 * Removes a VM to which there is no longer a link.
 	 * @param vm the VM
--- a/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/fleet/StateTimeline.java
+++ b/vanillatrestle-core/src/main/java/org/vanillatrestle/internal/fleet/StateTimeline.java
@@ -18,6 +18,11 @@
 	 */
 	private static final long RETENTION_NANOS = TimeUnit.SECONDS.toNanos(60);
 
+	/**
+	 * A longer lag is not explained by the time that a state takes to spread.
+	 */
+	private static final long BEHIND_NANOS = TimeUnit.MILLISECONDS.toNanos(1_500);
+
 	private final TreeMap<Long, Long> knownNanosByIndex = new TreeMap<>();
 
 	/**
@@ -62,4 +67,14 @@
 		return (oldestMissing != null) ? nowNanos - oldestMissing.getValue() : 0;
 	}
 
+	/**
+	 * Returns whether a VM has lacked a state for longer than a state takes to spread.
+	 * @param index the index of the state that the VM has
+	 * @param nowNanos the monotonic time
+	 * @return whether the VM is behind
+	 */
+	public boolean isBehind(long index, long nowNanos) {
+		return lagNanos(index, nowNanos) > BEHIND_NANOS;
+	}
+
 }
--- a/vanillatrestle-core/src/test/java/org/vanillatrestle/internal/declaration/EvacuationOrderLogTests.java
+++ b/vanillatrestle-core/src/test/java/org/vanillatrestle/internal/declaration/EvacuationOrderLogTests.java
@@ -59,6 +59,11 @@
 		assertThat(rebasedIndex(order(KOSHI, true, 8))).hasValue(9);
 	}
 
+	@Test
+	void shouldNotRebaseOrderToOlderState() {
+		assertThat(rebasedIndex(order(KOSHI, true, 9))).hasValue(9);
+	}
+
 	@Test
 	void shouldLeaveOrderForAnyStateAsItIs() {
 		assertThat(this.orders.rebase(new DeclarationCommand.Evacuate(KOSHI, true, OptionalLong.empty()), state(9))
--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/fleet/EntryFleet.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/fleet/EntryFleet.java
@@ -240,9 +240,8 @@
 
 	@Override
 	public void disconnected(PeerIdentity peer) {
-		// the reports of entry VMs and targets that the peer sent stay valid until
-		// another
-		// VM sends newer ones
+		// what the peer reported of others stays valid until another VM sends newer
+		// reports
 		this.lag.remove(peer.vm());
 	}
 
--- a/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/fleet/StateDistributor.java
+++ b/vanillatrestle-daemon/src/main/java/org/vanillatrestle/daemon/internal/fleet/StateDistributor.java
@@ -18,11 +18,6 @@
  */
 final class StateDistributor {
 
-	/**
-	 * An entry VM that has lacked a state for longer counts as behind.
-	 */
-	private static final long BEHIND_NANOS = TimeUnit.MILLISECONDS.toNanos(1_500);
-
 	private final FleetLinks links;
 
 	private final StatePushScheduler pushes = new StatePushScheduler();
@@ -79,7 +74,7 @@
 	int countBehind(long nowNanos) {
 		return (int) this.receivers.values()
 			.stream()
-			.filter((receiver) -> this.pushes.lagNanos(receiver.knownIndex(), nowNanos) > BEHIND_NANOS)
+			.filter((receiver) -> this.pushes.isBehind(receiver.knownIndex(), nowNanos))
 			.count();
 	}
 
